--- /dev/null
+++ b/crates/coordinator/src/keeper.rs
@@ -0,0 +1,440 @@
+//! The coordinator's state for one service: who may hold which keys, and until when.
+//!
+//! **Architecture Invariant:** a target is granted keys only when no other life of any target can
+//! hold them: each earlier owner has released them, its hold has run out, or it was started again.
+//!
+//! **Architecture Invariant:** a target is granted keys only after the store names it as their
+//! owner, so that a later coordinator knows everyone who may hold them.
+
+mod entry;
+mod order;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+pub use self::order::{Bounds, Candidate, GrantEnd, Order, OrderId, OrderKind, ReleaseEnd};
+use self::{
+    entry::{Earlier, Entry},
+    order::Sent,
+};
+use crate::{Key, KeyRange, Life, Millis, Phase, Slice, SliceRow, Stamp};
+
+/// Bits of a stamp that count within a term.
+const STAMP_BITS: u32 = 24;
+
+/// The keeper of the slices of one service.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    service: Arc<str>,
+    bounds: Bounds,
+    hold_ms: u64,
+    stamp: Stamp,
+    next_order: u64,
+    entries: BTreeMap<Key, Entry>,
+    lives: BTreeMap<Arc<str>, u64>,
+    orders: HashMap<OrderId, Sent>,
+    stored: BTreeMap<String, SliceRow>,
+    failures: BTreeMap<Arc<str>, u32>,
+    changed: BTreeSet<Key>,
+}
+
+impl Keeper {
+    /// Takes over the slices that `rows` describe, at `now`, as the coordinator of `term`.
+    ///
+    /// Each owner is granted its slices again with a new stamp, so that orders of an earlier
+    /// coordinator that are still under way are refused.
+    #[must_use]
+    pub fn new(
+        service: Arc<str>,
+        term: u64,
+        bounds: Bounds,
+        rows: Vec<SliceRow>,
+        now: Millis,
+    ) -> Self {
+        let mut it = Self {
+            service,
+            bounds,
+            hold_ms: bounds.hold_ms,
+            stamp: term << STAMP_BITS,
+            next_order: 0,
+            entries: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            orders: HashMap::new(),
+            stored: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            changed: BTreeSet::new(),
+        };
+        let until = now + bounds.longest_ms();
+        let mut rows = rows;
+        rows.sort_by_key(|it| it.stamp);
+        for row in rows {
+            it.stored.insert(row.name(), row.clone());
+            it.cut(row.range);
+            let stamp = it.next_stamp();
+            let earlier = row
+                .earlier
+                .into_iter()
+                .map(|life| Earlier::new(life, until));
+            let entry = Entry::taken_over(row.range, row.owner, stamp, earlier.collect(), until);
+            it.insert(entry);
+        }
+        it
+    }
+
+    /// Replaces the list of targets that exist, draining ones included.
+    ///
+    /// A target that was started again under its old name holds nothing of what it held before.
+    pub fn set_lives(&mut self, lives: impl IntoIterator<Item = Life>, now: Millis) {
+        self.lives = lives.into_iter().map(|it| (it.target, it.born)).collect();
+        for entry in self.entries.values_mut() {
+            entry.on_lives(&self.lives, now);
+        }
+    }
+
+    /// Changes how long grants last, and renews all of them at once.
+    pub fn set_hold(&mut self, hold_ms: u64, now: Millis) {
+        if hold_ms == self.hold_ms {
+            return;
+        }
+        self.hold_ms = hold_ms;
+        for entry in self.entries.values_mut() {
+            entry.renew_at = entry.renew_at.min(now);
+        }
+    }
+
+    /// Gives the keys in `range` to `owner`. What it owns already stays untouched.
+    pub fn assign(&mut self, range: KeyRange, owner: &Life, now: Millis) {
+        for gap in self.gaps(range) {
+            let stamp = self.next_stamp();
+            self.insert(Entry::new(gap, owner.clone(), stamp));
+        }
+        let starts: Vec<Key> = self.overlapping(range).map(|it| it.range.first).collect();
+        for start in starts {
+            if self.entries[&start].owner == *owner {
+                continue;
+            }
+            let Some(mut entry) = self.entries.remove(&start) else {
+                continue;
+            };
+            let moved = entry
+                .range
+                .intersection(range)
+                .expect("overlapping entries share keys with the range");
+            let sides = [
+                entry.range.below(moved.first),
+                entry.range.above(moved.last),
+            ];
+            for side in sides.into_iter().flatten() {
+                self.insert(entry.part(side));
+            }
+            entry = entry.part(moved);
+            let stamp = self.next_stamp();
+            let busy = self.grant_under_way(&entry);
+            entry.give(owner.clone(), stamp, busy, now);
+            self.insert(entry);
+        }
+    }
+
+    /// The orders that are due at `now`, and what they clear.
+    pub fn step(&mut self, now: Millis) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let grants: Vec<(KeyRange, Life)> = self
+            .orders
+            .values()
+            .filter(|it| it.is_grant)
+            .map(|it| (it.range, it.life.clone()))
+            .collect();
+        for entry in self.entries.values_mut() {
+            let range = entry.range;
+            let granting = |life: &Life| {
+                grants
+                    .iter()
+                    .any(|it| it.1 == *life && it.0.intersection(range).is_some())
+            };
+            entry.clear_ended(now, granting);
+            let exists = |life: &Life| self.lives.get(&life.target) == Some(&life.born);
+            for earlier in &mut entry.earlier {
+                let waits = earlier.release.is_some() || now < earlier.retry_at;
+                if waits || granting(&earlier.life) || !exists(&earlier.life) {
+                    continue;
+                }
+                let id = OrderId(self.next_order);
+                self.next_order += 1;
+                earlier.release = Some(id);
+                orders.push(Order {
+                    id,
+                    life: earlier.life.clone(),
+                    range,
+                    fence: entry.stamp,
+                    kind: OrderKind::Release,
+                });
+            }
+            if !entry.is_due(now) || !exists(&entry.owner) {
+                continue;
+            }
+            let id = OrderId(self.next_order);
+            self.next_order += 1;
+            entry.grant = Some(id);
+            orders.push(Order {
+                id,
+                life: entry.owner.clone(),
+                range,
+                fence: entry.stamp,
+                kind: OrderKind::Grant {
+                    hold_ms: self.hold_ms,
+                    handover: entry.handover.clone(),
+                },
+            });
+        }
+        for order in &orders {
+            self.orders.insert(order.id, Sent::new(order, now));
+        }
+        orders
+    }
+
+    /// Notes how a grant ended at `now`.
+    pub fn on_grant(&mut self, id: OrderId, end: GrantEnd, now: Millis) {
+        let Some(sent) = self.orders.remove(&id) else {
+            return;
+        };
+        let until = self.bounds.latest_end(now, sent.hold_ms);
+        let target = Arc::clone(&sent.life.target);
+        match end {
+            GrantEnd::Accepted => {
+                self.failures.remove(&target);
+            }
+            GrantEnd::NotSent | GrantEnd::NoAnswer => {
+                *self.failures.entry(target).or_default() += 1;
+            }
+            GrantEnd::Superseded | GrantEnd::Refused => {}
+        }
+        let renew_ms = self.bounds.renew_ms;
+        let retry_ms = self.bounds.retry_ms;
+        let mut superseded = Vec::new();
+        for entry in self.entries.values_mut() {
+            if entry.range.intersection(sent.range).is_none() {
+                continue;
+            }
+            for earlier in &mut entry.earlier {
+                // A grant that was under way when its slice moved may still count.
+                if earlier.life == sent.life && end.may_hold() {
+                    earlier.on_late_grant(until, end);
+                }
+            }
+            if entry.owner != sent.life || entry.stamp != sent.fence {
+                continue;
+            }
+            if entry.grant == Some(id) {
+                entry.grant = None;
+            }
+            if end.may_hold() {
+                entry.until = entry.until.max(until);
+            }
+            match end {
+                GrantEnd::Accepted => {
+                    entry.renew_at = sent.at + renew_ms;
+                    entry.handover = None;
+                    if entry.phase == Phase::Pending {
+                        entry.phase = Phase::Held;
+                        self.changed.insert(entry.range.first);
+                    }
+                }
+                GrantEnd::NoAnswer => {
+                    entry.unsure = until;
+                    entry.renew_at = now + retry_ms;
+                }
+                GrantEnd::NotSent | GrantEnd::Refused => entry.renew_at = now + retry_ms,
+                GrantEnd::Superseded => superseded.push(entry.range.first),
+            }
+        }
+        for start in superseded {
+            self.restamp(start, now);
+        }
+    }
+
+    /// Notes how a release ended at `now`.
+    pub fn on_release(&mut self, id: OrderId, end: ReleaseEnd, now: Millis) {
+        let Some(sent) = self.orders.remove(&id) else {
+            return;
+        };
+        let retry_ms = self.bounds.retry_ms;
+        for entry in self.entries.values_mut() {
+            let covered = entry.range.intersection(sent.range) == Some(entry.range);
+            if !covered {
+                continue;
+            }
+            entry.on_release(id, &sent.life, &end, now, retry_ms);
+        }
+    }
+
+    /// The slices whose owner is not among `usable`; they need a new owner.
+    pub fn orphans(&self, usable: impl Fn(&Life) -> bool) -> Vec<Slice> {
+        self.entries
+            .values()
+            .filter(|it| it.lost || !usable(&it.owner))
+            .map(Entry::slice)
+            .collect()
+    }
+
+    /// The keys that no target was ever given.
+    #[must_use]
+    pub fn unassigned(&self) -> Vec<KeyRange> {
+        self.gaps(KeyRange::ALL)
+    }
+
+    /// All slices in key order.
+    pub fn slices(&self) -> impl Iterator<Item = Slice> {
+        self.entries.values().map(Entry::slice)
+    }
+
+    /// Whether the slice with `key` can be moved without waiting for a hold to run out.
+    #[must_use]
+    pub fn is_settled(&self, key: Key, now: Millis) -> bool {
+        self.entries
+            .range(..=key)
+            .next_back()
+            .is_some_and(|(_, it)| it.is_settled(now))
+    }
+
+    /// Consecutive grants of a target that got no answer.
+    #[must_use]
+    pub fn failures(&self, target: &str) -> u32 {
+        self.failures.get(target).copied().unwrap_or(0)
+    }
+
+    /// Stops renewing the grants of a target that does not answer, so that its hold runs out.
+    pub fn give_up(&mut self, target: &str) {
+        for entry in self.entries.values_mut() {
+            if *entry.owner.target == *target {
+                entry.lost = true;
+            }
+        }
+    }
+
+    /// The slices that changed for those who look owners up, since the last call.
+    pub fn take_changed(&mut self) -> Vec<Slice> {
+        let changed = std::mem::take(&mut self.changed);
+        let entries = changed.iter().filter_map(|it| self.entries.get(it));
+        entries.filter(|it| it.recorded).map(Entry::slice).collect()
+    }
+
+    /// Whether a target waits for the store to name it as an owner.
+    #[must_use]
+    pub fn needs_commit(&self) -> bool {
+        self.entries.values().any(|it| !it.recorded)
+    }
+
+    /// The rows to write so that the store matches this state: at most `limit`, the newest
+    /// assignments first, and the names of rows to remove.
+    #[must_use]
+    pub fn rows_to_write(&self, limit: usize) -> (Vec<SliceRow>, Vec<String>) {
+        let mut wanted = BTreeMap::new();
+        for entry in self.entries.values() {
+            let row = entry.row(&self.service);
+            wanted.insert(row.name(), row);
+        }
+        let mut puts: Vec<SliceRow> = wanted
+            .values()
+            .filter(|it| self.stored.get(&it.name()).is_none_or(|old| !same(old, it)))
+            .cloned()
+            .collect();
+        puts.sort_by_key(|it| std::cmp::Reverse(it.stamp));
+        let all = puts.len() <= limit;
+        puts.truncate(limit);
+        let mut removes = Vec::new();
+        // A row goes only after those that replace it.
+        if all {
+            let room = limit - puts.len();
+            let gone = self.stored.keys().filter(|it| !wanted.contains_key(*it));
+            removes = gone.take(room).cloned().collect();
+        }
+        (puts, removes)
+    }
+
+    /// Notes that the store has taken these rows.
+    pub fn on_commit(&mut self, puts: Vec<SliceRow>, removes: &[String]) {
+        for name in removes {
+            self.stored.remove(name);
+        }
+        for row in puts {
+            for entry in self.entries.values_mut() {
+                let inside = entry.range.intersection(row.range) == Some(entry.range);
+                if inside && !entry.recorded && entry.owner == row.owner && entry.stamp == row.stamp
+                {
+                    entry.recorded = true;
+                    self.changed.insert(entry.range.first);
+                }
+            }
+            self.stored.insert(row.name(), row);
+        }
+    }
+
+    fn next_stamp(&mut self) -> Stamp {
+        self.stamp += 1;
+        self.stamp
+    }
+
+    /// Grants the slice again with a new stamp.
+    fn restamp(&mut self, start: Key, now: Millis) {
+        let stamp = self.next_stamp();
+        if let Some(entry) = self.entries.get_mut(&start) {
+            entry.stamp = stamp;
+            entry.renew_at = now;
+            self.changed.insert(start);
+        }
+    }
+
+    fn insert(&mut self, entry: Entry) {
+        self.changed.insert(entry.range.first);
+        self.entries.insert(entry.range.first, entry);
+    }
+
+    /// Removes `range` from all entries.
+    fn cut(&mut self, range: KeyRange) {
+        let starts: Vec<Key> = self.overlapping(range).map(|it| it.range.first).collect();
+        for start in starts {
+            let Some(entry) = self.entries.remove(&start) else {
+                continue;
+            };
+            let sides = [
+                entry.range.below(range.first),
+                entry.range.above(range.last),
+            ];
+            for side in sides.into_iter().flatten() {
+                self.insert(entry.part(side));
+            }
+        }
+    }
+
+    fn overlapping(&self, range: KeyRange) -> impl Iterator<Item = &Entry> {
+        self.entries
+            .range(..=range.last)
+            .map(|(_, it)| it)
+            .filter(move |it| it.range.last >= range.first)
+    }
+
+    fn gaps(&self, range: KeyRange) -> Vec<KeyRange> {
+        let mut gaps = Vec::new();
+        let mut rest = Some(range);
+        for entry in self.overlapping(range) {
+            let Some(open) = rest else { break };
+            gaps.extend(open.below(entry.range.first));
+            rest = open.above(entry.range.last);
+        }
+        gaps.extend(rest);
+        gaps
+    }
+
+    fn grant_under_way(&self, entry: &Entry) -> bool {
+        self.orders.values().any(|it| {
+            it.is_grant && it.life == entry.owner && it.range.intersection(entry.range).is_some()
+        })
+    }
+}
+
+/// Whether two rows tell a later coordinator the same.
+fn same(a: &SliceRow, b: &SliceRow) -> bool {
+    a.range == b.range && a.owner == b.owner && a.earlier == b.earlier
+}
--- /dev/null
+++ b/crates/coordinator/src/lib.rs
@@ -0,0 +1,26 @@
+//! The coordinator of a deployment whose targets own ranges of numeric keys.
+//!
+//! One host at a time holds the lease ([`LeaseRow`]) in the store. Its [`Keeper`] grants each range of keys, a
+//! slice, to one target for a limited time and moves slices between targets. All hosts look owners
+//! up in a [`SliceTable`]. The crate does no I/O, reads no clock and draws no randomness: times are
+//! [`Millis`] of the caller's monotonic clock, and orders are returned as values.
+
+mod keeper;
+mod lease;
+mod range;
+mod row;
+mod slice;
+mod table;
+
+pub use keeper::{Bounds, Candidate, GrantEnd, Keeper, Order, OrderId, OrderKind, ReleaseEnd};
+pub use lease::{LeaseRow, StoreClock};
+pub use range::{Key, KeyRange};
+pub use row::{RowError, SliceRow};
+pub use slice::{Life, Phase, Slice, Stamp};
+pub use table::SliceTable;
+
+/// Milliseconds of a monotonic clock that also counts the time for which the host is suspended.
+pub type Millis = u64;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coordinator/src/slice.rs
@@ -0,0 +1,44 @@
+//! A range of keys and its owner.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::KeyRange;
+
+/// Orders all assignments of keys in time; also the fencing token of an assignment's grants.
+///
+/// A stamp is the term of the coordinator followed by a number that it counts up, so that the
+/// stamps of a later coordinator are above all earlier ones.
+pub type Stamp = u64;
+
+/// One run of a target's process. A target that was started again holds nothing.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Life {
+    /// Name of the target.
+    pub target: Arc<str>,
+    /// When the process started, in milliseconds of the target's time of day.
+    pub born: u64,
+}
+
+/// How far the assignment of a slice has got.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum Phase {
+    /// The owner has not confirmed that it holds the slice.
+    Pending,
+    /// The owner holds the slice.
+    Held,
+}
+
+/// A range of keys with its owner.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Slice {
+    /// The keys.
+    pub range: KeyRange,
+    /// The owner.
+    pub owner: Life,
+    /// The assignment.
+    pub stamp: Stamp,
+    /// How far the assignment has got.
+    pub phase: Phase,
+}
--- a/crates/sassafrasd/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -10,6 +10,7 @@
 };
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -57,6 +58,16 @@
         }
     }
 
+    /// The address as the authority of a request.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: an address is header text.
+    #[must_use]
+    pub fn authority(&self) -> HeaderValue {
+        HeaderValue::from_str(&self.address.to_string()).expect("an address is header text")
+    }
+
     /// Changes the largest number of connections.
     pub fn set_limit(&self, limit: usize) {
         self.limit.store(limit, Ordering::Relaxed);
--- /dev/null
+++ b/crates/router/src/entry/answer.rs
@@ -0,0 +1,29 @@
+//! Answers that the router makes itself.
+
+use http::{HeaderValue, Response, header};
+use refusal::Refusal;
+
+use super::server::Body;
+use crate::node::Node;
+
+/// Header with the reason of a refusal.
+const REFUSED: &str = "sassafras-refused";
+
+/// The answer that carries a refusal.
+pub fn refuse(node: &Node, refusal: &Refusal) -> Response<Body> {
+    let json = serde_json::to_vec(refusal).expect("a refusal has string keys only");
+    let mut response = Response::new(Body::from(json));
+    *response.status_mut() = (node.dialect.status)(refusal);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    headers.insert(REFUSED, HeaderValue::from_static(refusal.reason.label()));
+    if let Some(retry_ms) = refusal.retry_ms {
+        let seconds = format!("{}.{:03}", retry_ms / 1_000, retry_ms % 1_000);
+        let value = HeaderValue::from_str(&seconds).expect("digits are header text");
+        headers.insert(header::RETRY_AFTER, value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,24 @@
+//! The router for deployments whose platform keeps the configuration and the list of targets.
+//!
+//! A request enters through `entry`, which finds its route, service and target; `gateway` admits
+//! it to the target and carries it there. In the background `control` keeps this host's knowledge
+//! up to date and, on one host, coordinates who owns which keys. `state` holds what all parts read.
+//! The platform is met through [`Store`], [`TargetApi`] and [`Dialect`] only.
+
+mod control;
+mod entry;
+mod gateway;
+mod node;
+mod operators;
+mod ports;
+mod run;
+mod settings;
+mod state;
+
+pub use ports::{
+    Commit, Dialect, OwnRow, OwnRows, Read, Record, RefusalStatus, Store, StoreError, TargetApi,
+    Topic, Transaction, Update,
+};
+pub use run::{Ports, run};
+pub use settings::{Settings, SettingsError};
+pub use state::{TargetEntry, TargetState};
--- /dev/null
+++ b/crates/router/src/operators.rs
@@ -0,0 +1,51 @@
+//! The port for readiness.
+
+use std::{convert::Infallible, sync::Arc};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+
+use crate::{entry::ACCEPT_PAUSE, node::Node};
+
+/// Serves the operators' port for ever.
+pub async fn run(node: Arc<Node>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(err) => {
+                log::warn!("a connection of an operator cannot be accepted: {err}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let node = Arc::clone(&node);
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let answer = answer(&node, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(err) = connection.await {
+                log::debug!("a connection of an operator ended: {err}");
+            }
+        });
+    }
+}
+
+fn answer(node: &Node, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, text) = match request.uri().path() {
+        "/healthz" => (StatusCode::OK, "running\n"),
+        "/readyz" if node.is_ready() => (StatusCode::OK, "ready\n"),
+        "/readyz" => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        _ => (StatusCode::NOT_FOUND, "not found\n"),
+    };
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/router/src/run.rs
@@ -0,0 +1,77 @@
+//! Start and stop of the router on one host.
+
+use std::{
+    process::ExitCode,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+};
+
+use crate::{
+    control, entry,
+    node::Node,
+    operators,
+    ports::{Dialect, Store, TargetApi},
+    settings::Settings,
+};
+
+/// Exit code when an address cannot be bound.
+const NOT_BOUND: u8 = 3;
+
+/// Time for which a stopping host still takes new connections, because the platform's balancer
+/// asks each second and takes a host out after two misses.
+const NOTICE: Duration = Duration::from_millis(2_500);
+
+/// The platform as the router meets it.
+pub struct Ports {
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// Orders to targets.
+    pub target_api: Arc<dyn TargetApi>,
+    /// Headers and statuses.
+    pub dialect: Dialect,
+}
+
+/// Runs the router until SIGTERM or SIGINT, then lets the requests in flight end.
+pub async fn run(settings: Settings, ports: Ports) -> ExitCode {
+    let node = Arc::new(Node::new(settings, ports));
+    let settings = &node.settings;
+    let callers = TcpListener::bind(settings.callers).await;
+    let operators = TcpListener::bind(settings.operators).await;
+    let (callers, operators) = match (callers, operators) {
+        (Ok(callers), Ok(operators)) => (callers, operators),
+        (callers, operators) => {
+            for err in [callers.err(), operators.err()].into_iter().flatten() {
+                log::error!("an address cannot be bound: {err}");
+            }
+            return ExitCode::from(NOT_BOUND);
+        }
+    };
+    log::info!(place = &*settings.place; "started");
+    tokio::spawn(operators::run(Arc::clone(&node), operators));
+    tokio::spawn(control::watch_catalog(Arc::clone(&node)));
+    tokio::spawn(control::watch_targets(Arc::clone(&node)));
+    tokio::spawn(control::lead(Arc::clone(&node)));
+    let stop = stop(Arc::clone(&node));
+    entry::serve(Arc::clone(&node), callers, stop).await;
+    log::info!("stopped");
+    ExitCode::SUCCESS
+}
+
+/// Resolves when the host was asked to stop and the balancer had time to notice.
+async fn stop(node: Arc<Node>) {
+    let mut term = signal(SignalKind::terminate()).expect("the process can listen for SIGTERM");
+    let mut int = signal(SignalKind::interrupt()).expect("the process can listen for SIGINT");
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    let began = Instant::now();
+    log::info!("stopping");
+    node.stopping.send_replace(true);
+    tokio::time::sleep(NOTICE.saturating_sub(began.elapsed())).await;
+}
--- /dev/null
+++ b/crates/router/src/settings.rs
@@ -0,0 +1,156 @@
+//! Settings of one host, read from a YAML file.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use displaydoc::Display;
+use serde::Deserialize;
+use thiserror::Error;
+
+/// What a host learns from its settings. Fields that are not known are ignored, so that the
+/// platform can add some.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Settings {
+    /// Name of the host.
+    pub host: Arc<str>,
+    /// Its data centre.
+    pub place: Arc<str>,
+    /// The region of each data centre.
+    pub regions: BTreeMap<Arc<str>, Arc<str>>,
+    /// Address for requests of callers.
+    pub callers: SocketAddr,
+    /// Address for readiness.
+    pub operators: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Address for control messages of other hosts.
+    pub peer: SocketAddr,
+    /// Address for requests that other hosts forward.
+    pub forward: SocketAddr,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// Bounds that the platform states.
+    pub bounds: Bounds,
+}
+
+/// How the store may be used.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct StoreSettings {
+    /// Where it is.
+    pub address: SocketAddr,
+}
+
+/// Bounds that the platform states, in seconds unless a field says otherwise.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Bounds {
+    /// Longest time for which keys may be granted.
+    #[serde(rename = "max_hold_s")]
+    pub hold: f64,
+    /// Time after which a leaving target gets no more requests.
+    #[serde(rename = "drain_s")]
+    pub drain: f64,
+    /// Time between the request to stop and the end of the process.
+    #[serde(rename = "grace_s")]
+    pub grace: f64,
+    /// Repeated requests to a service as a part of all requests.
+    pub retry_ratio: f64,
+    /// Repeated requests to a service beyond that part, on all hosts together.
+    pub retry_slack: f64,
+    /// Window in which repeated requests are counted.
+    #[serde(rename = "retry_window_s")]
+    pub retry_window: f64,
+}
+
+/// Why settings cannot be used.
+#[derive(Debug, Display, Error)]
+pub enum SettingsError {
+    /// {file}: {text}
+    Format {
+        /// The file.
+        file: String,
+        /// What is wrong.
+        text: String,
+    },
+    /// {file}: {field}: {rule}
+    Rule {
+        /// The file.
+        file: String,
+        /// The field.
+        field: &'static str,
+        /// The rule that it breaks.
+        rule: &'static str,
+    },
+}
+
+impl Settings {
+    /// Parses and checks the text of the settings file `file`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text is not YAML of this type or breaks a rule.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        let it: Self = serde_yaml_ng::from_str(text).map_err(|err| SettingsError::Format {
+            file: file.to_owned(),
+            text: err.to_string(),
+        })?;
+        match it.broken() {
+            None => Ok(it),
+            Some((field, rule)) => Err(SettingsError::Rule {
+                file: file.to_owned(),
+                field,
+                rule,
+            }),
+        }
+    }
+
+    /// The region of a data centre; a place that is not known is a region of its own.
+    #[must_use]
+    pub fn region<'a>(&'a self, place: &'a Arc<str>) -> &'a Arc<str> {
+        self.regions.get(place).unwrap_or(place)
+    }
+
+    fn broken(&self) -> Option<(&'static str, &'static str)> {
+        if self.host.is_empty() {
+            return Some(("host", "must not be empty"));
+        }
+        if !self.regions.contains_key(&self.place) {
+            return Some(("place", "must be one of the places under `regions`"));
+        }
+        let addresses = [
+            self.callers,
+            self.operators,
+            self.metrics,
+            self.peer,
+            self.forward,
+        ];
+        for (idx, address) in addresses.iter().enumerate() {
+            if address.port() == 0 || addresses[..idx].contains(address) {
+                let fields = "callers, operators, metrics, peer, forward";
+                return Some((fields, "must name different ports other than 0"));
+            }
+        }
+        let times = [
+            ("bounds.max_hold_s", self.bounds.hold),
+            ("bounds.drain_s", self.bounds.drain),
+            ("bounds.grace_s", self.bounds.grace),
+            ("bounds.retry_window_s", self.bounds.retry_window),
+        ];
+        for (field, value) in times {
+            if !(0.01..=3_600.0).contains(&value) {
+                return Some((field, "must be between 0.01 and 3600"));
+            }
+        }
+        let counts = [
+            ("bounds.retry_ratio", self.bounds.retry_ratio),
+            ("bounds.retry_slack", self.bounds.retry_slack),
+        ];
+        for (field, value) in counts {
+            if !(0.0..=1e9).contains(&value) {
+                return Some((field, "must not be negative"));
+            }
+        }
+        None
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/state/targets.rs
@@ -0,0 +1,92 @@
+//! The list of targets.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use coordinator::Millis;
+
+use super::TargetEntry;
+
+/// The registered targets. An update replaces an older one; one of a target that is gone leaves
+/// its revision behind, so that an older entry cannot come back.
+#[derive(Clone, Debug, Default)]
+pub struct Targets {
+    known: BTreeMap<Arc<str>, Known>,
+    gone: HashMap<Arc<str>, u64>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    rev: u64,
+    entry: Arc<TargetEntry>,
+    /// When the entry disappeared; the target may still run.
+    left: Option<Millis>,
+}
+
+impl Targets {
+    /// Applies an update; returns whether it changed anything.
+    pub fn apply(
+        &mut self,
+        name: &Arc<str>,
+        rev: u64,
+        entry: Option<TargetEntry>,
+        now: Millis,
+    ) -> bool {
+        let seen = self.known.get(name).map(|it| it.rev);
+        if seen.max(self.gone.get(name).copied()) >= Some(rev) {
+            return false;
+        }
+        let Some(entry) = entry else {
+            self.gone.insert(Arc::clone(name), rev);
+            let Some(known) = self.known.get_mut(name) else {
+                return false;
+            };
+            known.rev = rev;
+            return known.left.replace(now).is_none();
+        };
+        self.gone.remove(name);
+        let entry = Arc::new(entry);
+        let left = None;
+        let known = Known { rev, entry, left };
+        self.known.insert(Arc::clone(name), known);
+        true
+    }
+
+    /// The targets that are registered.
+    pub fn registered(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<TargetEntry>)> {
+        let known = self.known.iter().filter(|(_, it)| it.left.is_none());
+        known.map(|(name, it)| (name, &it.entry))
+    }
+
+    /// The targets that are or were registered and may still run.
+    pub fn all(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<TargetEntry>)> {
+        self.known.iter().map(|(name, it)| (name, &it.entry))
+    }
+
+    /// A registered target.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Arc<TargetEntry>> {
+        let known = self.known.get(name).filter(|it| it.left.is_none())?;
+        Some(&known.entry)
+    }
+
+    /// Names of the registered targets that a complete list, as of `rev`, does not have.
+    #[must_use]
+    pub fn missing_from(&self, names: &[Arc<str>], rev: u64) -> Vec<Arc<str>> {
+        let mut missing = Vec::new();
+        for (name, known) in &self.known {
+            if known.left.is_none() && known.rev <= rev && !names.contains(name) {
+                missing.push(Arc::clone(name));
+            }
+        }
+        missing
+    }
+
+    /// Forgets targets that left before `before`.
+    pub fn forget(&mut self, before: Millis) {
+        self.known
+            .retain(|_, it| it.left.is_none_or(|left| left >= before));
+    }
+}
--- /dev/null
+++ b/crates/routing/src/tests.rs
@@ -0,0 +1,138 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use smallvec::smallvec;
+
+use crate::{
+    Catalog, CatalogParts, Limits, Ownership, Picker, Problem, Repeat, Route, Service, Share,
+};
+
+fn route(prefix: &str, service: &str) -> Route {
+    Route {
+        name: format!("r{prefix}").into(),
+        prefix: prefix.into(),
+        repeat: Repeat::Allowed,
+        timeout_ms: 1_000,
+        objective_ms: 300,
+        priority: 0,
+        attempts: 2,
+        shares: smallvec![Share {
+            service: service.into(),
+            weight: 1,
+        }],
+    }
+}
+
+fn parts(routes: Vec<Route>) -> CatalogParts {
+    CatalogParts {
+        version: 7,
+        hosts: BTreeMap::from([(Arc::from("a.example"), routes)]),
+        services: vec![Service {
+            name: "archive".into(),
+            health: "/healthz".into(),
+            connections: 10,
+            ownership: Ownership::Shared,
+        }],
+        limits: Limits {
+            head_bytes: 16_384,
+            body_bytes: 1 << 20,
+            head_ms: 3_000,
+            idle_ms: 15_000,
+        },
+    }
+}
+
+/// Guards against a short prefix that hides a longer one, and against hosts that differ only in
+/// case or port.
+#[test]
+fn longest_prefix_wins() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        prefix: Option<&'static str>,
+    }
+    let routes = vec![
+        route("/a/", "archive"),
+        route("/a/b/", "archive"),
+        route("/c/", "archive"),
+    ];
+    let catalog = Catalog::new(parts(routes)).expect("the parts are valid");
+    let cases = [
+        Case {
+            host: "a.example",
+            path: "/a/x",
+            prefix: Some("/a/"),
+        },
+        Case {
+            host: "a.example",
+            path: "/a/b/x",
+            prefix: Some("/a/b/"),
+        },
+        Case {
+            host: "A.Example:8080",
+            path: "/c/",
+            prefix: Some("/c/"),
+        },
+        Case {
+            host: "a.example",
+            path: "/a",
+            prefix: None,
+        },
+        Case {
+            host: "a.example",
+            path: "/d/",
+            prefix: None,
+        },
+        Case {
+            host: "b.example",
+            path: "/a/x",
+            prefix: None,
+        },
+    ];
+    for case in cases {
+        let found = catalog.find(case.host, case.path).map(|it| &*it.prefix);
+        assert_eq!(found, case.prefix, "{} {}", case.host, case.path);
+    }
+}
+
+/// Guards against a configuration in force that a request could not be served by.
+#[test]
+fn broken_configurations_are_refused() {
+    let mut weightless = route("/a/", "archive");
+    weightless.shares[0].weight = 0;
+    let mut attemptless = route("/a/", "archive");
+    attemptless.attempts = 0;
+    let cases = [
+        (route("/a/", "other"), "service other is not defined"),
+        (weightless, "add up to 0"),
+        (attemptless, "at least 1"),
+        (route("a/", "archive"), "begin and end with a slash"),
+    ];
+    for (route, expected) in cases {
+        let err: Problem = Catalog::new(parts(vec![route])).expect_err("the route is broken");
+        assert!(err.to_string().contains(expected), "{err}");
+    }
+}
+
+/// Guards against a share that gets more or less than its weight says.
+#[test]
+fn picks_follow_weights() {
+    let shares = [("a", 90), ("b", 10), ("c", 0)].map(|(service, weight)| Share {
+        service: service.into(),
+        weight,
+    });
+    let mut picker = Picker::default();
+    let mut counts = BTreeMap::new();
+    for _ in 0..200 {
+        let share = picker.pick(&shares).expect("some weight is positive");
+        *counts.entry(&*share.service).or_insert(0) += 1;
+    }
+    assert_eq!(counts, BTreeMap::from([("a", 180), ("b", 20)]));
+}
+
+/// Guards against a catalog that changes when it is sent to another host.
+#[test]
+fn catalogs_survive_the_way_to_a_peer() {
+    let catalog = Catalog::new(parts(vec![route("/a/", "archive")])).expect("valid");
+    let parts = CatalogParts::from(catalog.clone());
+    assert_eq!(Catalog::new(parts).expect("valid"), catalog);
+}
--- a/crates/sassafrasd/src/crash.rs
+++ b/crates/sassafrasd/src/crash.rs
@@ -4,15 +4,10 @@
 
 use admission::Verdict;
 use peer::{Charge, QuarantineEntry};
+use pool::{ConnectError, Freshness};
 use refusal::{Reason, Refusal};
 
-use crate::{
-    clock::Millis,
-    gate::Gate,
-    host::Host,
-    inbound::Inbound,
-    pool::{ConnectError, Freshness},
-};
+use crate::{clock::Millis, gate::Gate, host::Host, inbound::Inbound};
 
 /// Longest wait for the connection that shows whether a target still listens.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
--- a/crates/sassafrasd/src/dispatch.rs
+++ b/crates/sassafrasd/src/dispatch.rs
@@ -7,6 +7,7 @@
 use admission::{RetryVerdict, Ticket};
 use http::{Response, header};
 use http_body_util::BodyExt;
+use pool::Freshness;
 use refusal::{Ran, Reason, Refusal};
 
 pub use self::attempt::DRAINING;
@@ -22,7 +23,6 @@
     gate::{Entered, Gate, Standing, Turn},
     host::Host,
     inbound::{Inbound, Runs},
-    pool::Freshness,
     prefetch::Fetched,
     pump::Pump,
 };
--- a/crates/sassafrasd/src/dispatch/attempt.rs
+++ b/crates/sassafrasd/src/dispatch/attempt.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use ownership::Permit;
+use pool::{ConnectError, Freshness, Sender};
 use refusal::{Ran, Reason, Refusal};
 
 use crate::{
@@ -19,7 +20,6 @@
     host::Host,
     inbound::{DEADLINE, IDEMPOTENCY_KEY, Inbound, REQUEST_ID, Runs, answer_headers},
     load::Origin,
-    pool::{ConnectError, Freshness, Sender},
     prefetch::{self, Fetched},
     probe,
 };
--- a/crates/sassafrasd/src/exchange.rs
+++ b/crates/sassafrasd/src/exchange.rs
@@ -4,13 +4,13 @@
 
 use admission::{End, Outcome};
 use http::{HeaderValue, StatusCode};
+use pool::Sender;
 
 use crate::{
     claims::ClaimGuard,
     crash,
     gate::{Gate, Turn},
     host::Host,
-    pool::Sender,
 };
 
 /// A request whose answer has begun. It holds the target's slot and its claim.
--- a/crates/sassafrasd/src/gate.rs
+++ b/crates/sassafrasd/src/gate.rs
@@ -9,10 +9,11 @@
 use admission::{Decision, End, Health, HealthState, Limits, Offer, Outcome, Queue, Ticket};
 use ownership::{Denial, Gateway, Intent, Permit, TargetId};
 use platform::Commit;
+use pool::Pool;
 use refusal::Reason;
 use tokio::sync::oneshot;
 
-use crate::{clock::Millis, coalesce::Sharing, host::Host, load::Load, pool::Pool};
+use crate::{clock::Millis, coalesce::Sharing, host::Host, load::Load};
 
 /// Waiting requests of one caller, in percent of the queue.
 const CALLER_SHARE_PERCENT: u32 = 50;
--- a/crates/sassafrasd/src/main.rs
+++ b/crates/sassafrasd/src/main.rs
@@ -26,14 +26,13 @@
 mod inputs;
 mod link;
 mod load;
-mod logging;
 mod metrics;
+mod mode;
 mod moves;
 mod operators;
 mod peer_server;
 mod peers;
 mod planner;
-mod pool;
 mod prefetch;
 mod probe;
 mod progress;
@@ -52,7 +51,7 @@
 
 use getopts::Options;
 
-use crate::{host::Host, settings::Settings};
+use crate::{host::Host, mode::Mode, settings::Settings};
 
 /// Exit code when the arguments or the settings are not valid.
 const INVALID: u8 = 1;
@@ -99,25 +98,14 @@
             return ExitCode::from(INVALID);
         }
     };
-    let settings = match Settings::read(&PathBuf::from(path)) {
-        Ok(settings) => settings,
+    let mode = match Mode::read(&PathBuf::from(path)) {
+        Ok(mode) => mode,
         Err(err) => {
             eprintln!("sassafrasd: {err}");
             return ExitCode::from(INVALID);
         }
     };
-    logging::init(Arc::clone(&settings.host));
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
-        Ok(runtime) => runtime,
-        Err(err) => {
-            log::error!("the runtime cannot be started: {err}");
-            return ExitCode::from(NOT_BOUND);
-        }
-    };
-    runtime.block_on(run(settings))
+    mode.run()
 }
 
 async fn run(settings: Settings) -> ExitCode {
--- a/crates/sassafrasd/src/probe.rs
+++ b/crates/sassafrasd/src/probe.rs
@@ -8,14 +8,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, header};
 use http_body_util::{BodyExt, Full};
+use pool::{Freshness, Sender};
 
-use crate::{
-    dispatch::DRAINING,
-    driver,
-    gate::Gate,
-    host::Host,
-    pool::{Freshness, Sender},
-};
+use crate::{dispatch::DRAINING, driver, gate::Gate, host::Host};
 
 /// Pause between two probes.
 const PAUSE: Duration = Duration::from_millis(500);
--- a/crates/sassafrasd/src/settings.rs
+++ b/crates/sassafrasd/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of one host, read from a YAML file.
 
-use std::{net::SocketAddr, path::Path, sync::Arc};
+use std::{net::SocketAddr, sync::Arc};
 
 use displaydoc::Display;
 use serde::Deserialize;
@@ -46,6 +46,8 @@
     Read(String, std::io::Error),
     /// {0}: {1}
     Format(String, String),
+    /// {0}
+    Store(#[from] router::SettingsError),
     /// {file}: {field}: {value:?} {rule}
     Rule {
         /// The file.
@@ -60,18 +62,6 @@
 }
 
 impl Settings {
-    /// Reads and checks the settings in `path`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the file cannot be read, is not YAML of this type, or breaks a rule.
-    pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let file = path.display().to_string();
-        let text =
-            std::fs::read_to_string(path).map_err(|err| SettingsError::Read(file.clone(), err))?;
-        Self::parse(&file, &text)
-    }
-
     /// Parses and checks the text of the settings file `file`.
     ///
     /// # Errors
