--- a/crates/coordinator/src/keeper.rs
+++ b/crates/coordinator/src/keeper.rs
@@ -14,7 +14,7 @@
     sync::Arc,
 };
 
-pub use self::order::{Bounds, Candidate, GrantEnd, Order, OrderId, OrderKind, ReleaseEnd};
+pub use self::order::{Bounds, GrantEnd, Order, OrderId, OrderKind, ReleaseEnd};
 use self::{
     entry::{Earlier, Entry},
     order::Sent,
--- a/crates/coordinator/src/keeper/order.rs
+++ b/crates/coordinator/src/keeper/order.rs
@@ -34,15 +34,6 @@
     }
 }
 
-/// A target that may be given keys.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Candidate {
-    /// The target.
-    pub life: Life,
-    /// Requests that it runs at once.
-    pub slots: u32,
-}
-
 /// Number of an order.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct OrderId(pub u64);
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -5,6 +5,8 @@
 //! up in a [`SliceTable`]. The crate does no I/O, reads no clock and draws no randomness: times are
 //! [`Millis`] of the caller's monotonic clock, and orders are returned as values.
 
+pub mod balance;
+mod demand;
 mod keeper;
 mod lease;
 mod range;
@@ -12,7 +14,8 @@
 mod slice;
 mod table;
 
-pub use keeper::{Bounds, Candidate, GrantEnd, Keeper, Order, OrderId, OrderKind, ReleaseEnd};
+pub use demand::{Demand, KeyLoad};
+pub use keeper::{Bounds, GrantEnd, Keeper, Order, OrderId, OrderKind, ReleaseEnd};
 pub use lease::{LeaseRow, StoreClock};
 pub use range::{Key, KeyRange};
 pub use row::{RowError, SliceRow};
--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -1,7 +1,11 @@
 //! Keeps this host's knowledge up to date and, on one host, coordinates the owners of keys.
 
-mod lead;
+mod catch_up;
+mod follow;
+mod lease;
+mod loads;
+mod tenure;
 mod watch;
 
-pub use lead::lead;
-pub use watch::{watch_catalog, watch_targets};
+pub use catch_up::catch_up;
+pub use follow::follow;
--- /dev/null
+++ b/crates/router/src/control/follow.rs
@@ -0,0 +1,221 @@
+//! Finds the coordinator and stays in touch with it, or becomes it.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use coordinator::SliceRow;
+use tarpc::context;
+
+use super::{
+    lease::{Lease, Sight},
+    loads,
+    tenure::Tenure,
+};
+use crate::{
+    node::Node,
+    peers::{self, CoordinationClient, Event, News, Report},
+    ports::OwnRows,
+};
+
+/// Longest time for which the coordinator holds a report without news.
+const WAIT: Duration = Duration::from_millis(500);
+
+/// Longest wait for an answer beyond that.
+const ANSWER: Duration = Duration::from_millis(400);
+
+/// Longest wait for a connection to another host.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// Failed calls in a row after which the coordinator counts as lost.
+const FAILURES: u32 = 2;
+
+/// Pause before the lease is read again.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Shortest time between two reports that do not wait for news.
+const SOON: Duration = Duration::from_millis(100);
+
+/// Waits before the free lease is taken: a host that is far from the store, or weak, waits longer,
+/// so that a near and strong one takes the lease.
+const NEAR_FACTOR: u32 = 8;
+const WEAK_WAIT_MS: u64 = 20;
+
+/// Follows the coordinator, or coordinates, for ever.
+pub async fn follow(node: Arc<Node>) {
+    loop {
+        if let Some(address) = node.coordinator()
+            && address != node.settings.peer
+        {
+            stay(&node, address).await;
+        }
+        node.set_coordinator(None);
+        match seek(&node).await {
+            Some(Found::Lease(lease)) => coordinate(&node, lease).await,
+            Some(Found::Coordinator(address)) => node.set_coordinator(Some(address)),
+            None => {
+                ask_neighbours(&node).await;
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+enum Found {
+    Coordinator(SocketAddr),
+    Lease(Lease),
+}
+
+/// Reads the lease, and takes it if it is free.
+async fn seek(node: &Arc<Node>) -> Option<Found> {
+    let sight = Sight::read(node).await?;
+    if let Some(row) = sight.holder() {
+        if row.peer != node.settings.peer {
+            return Some(Found::Coordinator(row.peer));
+        }
+        // An earlier run of this process held it, and is gone.
+    }
+    if *node.stopping.borrow() {
+        return None;
+    }
+    let rtt_ms = u32::try_from(sight.clock.received - sight.clock.sent).unwrap_or(u32::MAX);
+    let far = Duration::from_millis(rtt_ms.saturating_mul(NEAR_FACTOR).min(400).into());
+    let weak = Duration::from_millis(WEAK_WAIT_MS * 1_000 / u64::from(node.info.power.max(50)));
+    tokio::time::sleep(far + weak).await;
+    sight.take(node).await.map(Found::Lease)
+}
+
+async fn coordinate(node: &Arc<Node>, lease: Lease) {
+    let Ok(own) = node.store.own_rows().await else {
+        return;
+    };
+    log::info!(term = lease.row.term; "this host coordinates");
+    let rows = slice_rows(&own);
+    Tenure::new(Arc::clone(node), lease, rows).run().await;
+    log::info!("this host does not coordinate any more");
+}
+
+/// Takes the owners of keys from the store's rows.
+pub async fn read_slices(node: &Node) {
+    let Ok(own) = node.store.own_rows().await else {
+        return;
+    };
+    let mut events = Vec::new();
+    for row in slice_rows(&own) {
+        events.push(Event::Slice(Arc::clone(&row.service), row.slice()));
+    }
+    node.announce(events);
+}
+
+fn slice_rows(own: &OwnRows) -> Vec<SliceRow> {
+    let mut rows = Vec::new();
+    for row in &own.rows {
+        if !row.name.starts_with(SliceRow::PREFIX) {
+            continue;
+        }
+        match SliceRow::parse(&row.name, &row.value) {
+            Ok(row) => rows.push(row),
+            Err(err) => log::error!("a row is left out: {err}"),
+        }
+    }
+    rows
+}
+
+/// Reports to the coordinator and learns from it until it is lost or is one no more.
+async fn stay(node: &Arc<Node>, address: SocketAddr) {
+    let mut failures = 0;
+    while failures < FAILURES {
+        let Ok(client) = peers::connect(address, CONNECT).await else {
+            failures += 1;
+            tokio::time::sleep(PAUSE / 2).await;
+            continue;
+        };
+        loop {
+            match exchange(node, &client).await {
+                None => {
+                    failures += 1;
+                    break;
+                }
+                Some(news) => {
+                    failures = 0;
+                    let coordinator = news.coordinator;
+                    learn(node, news);
+                    if coordinator != Some(address) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+    log::warn!(coordinator:% = address; "the coordinator does not answer");
+}
+
+/// One report and its answer; urgent reports go out beside it.
+async fn exchange(node: &Arc<Node>, client: &CoordinationClient) -> Option<News> {
+    let call = call(node, client, WAIT);
+    tokio::pin!(call);
+    loop {
+        tokio::select! {
+            news = &mut call => return news,
+            () = node.report_soon.notified() => {
+                let news = self::call(node, client, Duration::ZERO).await?;
+                learn(node, news);
+                tokio::time::sleep(SOON).await;
+            }
+        }
+    }
+}
+
+async fn call(node: &Node, client: &CoordinationClient, wait: Duration) -> Option<News> {
+    let report = report(node, wait);
+    let mut context = context::current();
+    let limit = wait + ANSWER;
+    context.deadline = std::time::Instant::now() + limit;
+    match tokio::time::timeout(limit, client.sync(context, report)).await {
+        Ok(Ok(news)) => Some(news),
+        Ok(Err(err)) => {
+            log::debug!("a report failed: {err}");
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+fn report(node: &Node, wait: Duration) -> Report {
+    let (span_ms, loads) = loads::collect(node);
+    Report {
+        host: node.info.clone(),
+        serves: !*node.stopping.borrow(),
+        known: node.feed().position(),
+        span_ms,
+        loads,
+        poison: Vec::new(),
+        wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn learn(node: &Node, news: News) {
+    let in_step = node.clock.now().saturating_sub(news.age_ms);
+    node.follow(news);
+    node.set_in_step(in_step);
+}
+
+/// Learns from any host that answers, while neither the store nor the coordinator does.
+async fn ask_neighbours(node: &Arc<Node>) {
+    let hosts = node.hosts.load_full();
+    for host in hosts.iter() {
+        if host.name == node.info.name {
+            continue;
+        }
+        let Ok(client) = peers::connect(host.peer, CONNECT).await else {
+            continue;
+        };
+        let Some(news) = call(node, &client, Duration::ZERO).await else {
+            continue;
+        };
+        let coordinator = news.coordinator;
+        learn(node, news);
+        if coordinator.is_some() {
+            node.set_coordinator(coordinator);
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/control/lease.rs
@@ -0,0 +1,114 @@
+//! The coordinator's lease in the store.
+
+use coordinator::{LeaseRow, Millis, StoreClock};
+
+use crate::{
+    node::Node,
+    ports::{Commit, OwnRows, Transaction},
+};
+
+/// Length of the lease.
+pub const LEASE_MS: u64 = 1_500;
+
+/// What this host read of the lease.
+#[derive(Clone, Debug)]
+pub struct Sight {
+    /// The row, if there is one that can be read.
+    pub row: Option<LeaseRow>,
+    /// Revision of the row; 0 if there is none.
+    pub rev: u64,
+    /// The store's clock.
+    pub clock: StoreClock,
+}
+
+/// This host's hold of the lease.
+#[derive(Clone, Debug)]
+pub struct Lease {
+    /// The row as last written.
+    pub row: LeaseRow,
+    /// Its revision.
+    pub rev: u64,
+    /// The last reading of the store's clock.
+    pub clock: StoreClock,
+    /// Until when this host may act.
+    pub until: Millis,
+}
+
+impl Sight {
+    /// Reads the lease; `None` if the store does not answer.
+    pub async fn read(node: &Node) -> Option<Self> {
+        let sent = node.clock.now();
+        match node.store.own_row(LeaseRow::NAME).await {
+            Ok(rows) => Some(Self::of(node, &rows, sent)),
+            Err(err) => {
+                log::debug!("the lease cannot be read: {err}");
+                None
+            }
+        }
+    }
+
+    fn of(node: &Node, rows: &OwnRows, sent: Millis) -> Self {
+        let known = rows.rows.iter().find(|it| it.name == LeaseRow::NAME);
+        let row = known.and_then(|it| match serde_json::from_slice(&it.value) {
+            Ok(row) => Some(row),
+            Err(err) => {
+                log::error!("the lease is malformed and counts as free: {err}");
+                None
+            }
+        });
+        Self {
+            row,
+            rev: known.map_or(0, |it| it.rev),
+            clock: StoreClock {
+                sent,
+                received: node.clock.now(),
+                value: rows.store_ms,
+            },
+        }
+    }
+
+    /// The holder, if the lease has not ended.
+    pub fn holder(&self) -> Option<&LeaseRow> {
+        self.row.as_ref().filter(|it| self.clock.value < it.until)
+    }
+
+    /// Takes the lease, which must have ended.
+    pub async fn take(&self, node: &Node) -> Option<Lease> {
+        let row = LeaseRow {
+            host: node.settings.host.clone(),
+            peer: node.settings.peer,
+            term: self.row.as_ref().map_or(1, |it| it.term + 1),
+            until: self.clock.earliest(node.clock.now()) + LEASE_MS,
+            nonce: rand::random(),
+        };
+        let transaction = Transaction {
+            expected: vec![(LeaseRow::NAME.to_owned(), self.rev)],
+            puts: vec![(LeaseRow::NAME.to_owned(), encode(&row))],
+            removes: Vec::new(),
+        };
+        let until = self.clock.before(row.until);
+        let sent = node.clock.now();
+        match node.store.commit(&transaction).await {
+            Commit::Applied { rev, store_ms } => {
+                let received = node.clock.now();
+                let value = store_ms;
+                Some(Lease {
+                    row,
+                    rev,
+                    clock: StoreClock {
+                        sent,
+                        received,
+                        value,
+                    },
+                    until,
+                })
+            }
+            Commit::Conflict(_) | Commit::NotApplied(_) | Commit::Unknown => None,
+        }
+    }
+}
+
+/// The value of the row.
+pub fn encode(row: &LeaseRow) -> Vec<u8> {
+    serde_json::to_vec(row).expect("a lease has string keys only")
+}
--- /dev/null
+++ b/crates/router/src/control/tenure.rs
@@ -0,0 +1,223 @@
+//! The time for which this host coordinates.
+
+mod commit;
+mod plan;
+mod roster;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use coordinator::{
+    Demand, GrantEnd, Keeper, Millis, Order, OrderId, OrderKind, ReleaseEnd, SliceRow,
+};
+use tokio::{sync::mpsc, task::JoinSet};
+
+use self::roster::Roster;
+use super::{
+    lease::Lease,
+    loads,
+    watch::{Steps, watch},
+};
+use crate::{
+    node::Node,
+    peers::{Event, Position, Report},
+    ports::Topic,
+};
+
+/// Interval of renewals of the lease.
+const RENEW_MS: u64 = 500;
+
+/// Interval at which the keepers are asked for orders.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Interval at which loads are balanced.
+const BALANCE_MS: u64 = 200;
+
+/// How an order ended.
+enum End {
+    Grant(GrantEnd),
+    Release(ReleaseEnd),
+}
+
+/// An order of a service that ended.
+struct Ended {
+    service: Arc<str>,
+    id: OrderId,
+    end: End,
+}
+
+/// The coordinator's view of one service with keys.
+struct Charge {
+    keeper: Keeper,
+    demand: Demand,
+    /// Number of usable targets so far, and when it last grew.
+    gathered: (usize, Millis),
+}
+
+/// The time for which this host holds the lease.
+pub struct Tenure {
+    node: Arc<Node>,
+    lease: Lease,
+    renew_at: Millis,
+    balance_at: Millis,
+    rows: Vec<SliceRow>,
+    charges: BTreeMap<Arc<str>, Charge>,
+    roster: Roster,
+    /// Nonces of writes of the lease whose answers were lost.
+    doubtful: Vec<u64>,
+    ends: mpsc::UnboundedSender<Ended>,
+    ended: mpsc::UnboundedReceiver<Ended>,
+}
+
+impl Tenure {
+    /// Begins to coordinate with the slices in `rows`.
+    pub fn new(node: Arc<Node>, lease: Lease, rows: Vec<SliceRow>) -> Self {
+        let (ends, ended) = mpsc::unbounded_channel();
+        let now = node.clock.now();
+        Self {
+            roster: Roster::new(&node.hosts.load(), node.info.clone(), now),
+            node,
+            lease,
+            renew_at: now + RENEW_MS,
+            balance_at: now,
+            rows,
+            charges: BTreeMap::new(),
+            doubtful: Vec::new(),
+            ends,
+            ended,
+        }
+    }
+
+    /// Coordinates until the lease is lost or the host is asked to stop.
+    pub async fn run(mut self) {
+        let (inbox, mut reports) = mpsc::unbounded_channel();
+        self.begin(inbox);
+        let steps = Arc::new(Steps::default());
+        let mut watches = JoinSet::new();
+        for topic in [Topic::Catalog, Topic::Targets] {
+            watches.spawn(watch(Arc::clone(&self.node), topic, Arc::clone(&steps)));
+        }
+        loop {
+            let now = self.node.clock.now();
+            if now >= self.lease.until {
+                log::warn!("the lease has ended");
+                break;
+            }
+            if *self.node.stopping.borrow() {
+                self.release().await;
+                break;
+            }
+            self.plan(now);
+            self.order(now);
+            let urgent = self.charges.values().any(|it| it.keeper.needs_commit());
+            if (urgent || now >= self.renew_at) && !self.commit().await {
+                break;
+            }
+            self.publish();
+            tokio::select! {
+                ended = self.ended.recv() => self.note(ended),
+                report = reports.recv() => self.hear(report),
+                () = tokio::time::sleep(TICK) => {}
+            }
+            while let Ok(ended) = self.ended.try_recv() {
+                self.note(Some(ended));
+            }
+            while let Ok(report) = reports.try_recv() {
+                self.hear(Some(report));
+            }
+        }
+        self.node.set_inbox(None);
+        self.node.set_coordinator(None);
+        self.node.fed.notify_waiters();
+    }
+
+    fn begin(&self, inbox: mpsc::UnboundedSender<Report>) {
+        self.node.feed().restart(Position {
+            term: self.lease.row.term,
+            number: 0,
+        });
+        self.node.set_inbox(Some(inbox));
+        self.node.set_coordinator(Some(self.node.settings.peer));
+        let mut events = Vec::new();
+        for row in &self.rows {
+            events.push(Event::Slice(Arc::clone(&row.service), row.slice()));
+        }
+        self.node.announce(events);
+        self.node.fed.notify_waiters();
+    }
+
+    fn note(&mut self, ended: Option<Ended>) {
+        let Some(Ended { service, id, end }) = ended else {
+            return;
+        };
+        let now = self.node.clock.now();
+        let Some(charge) = self.charges.get_mut(&service) else {
+            return;
+        };
+        match end {
+            End::Grant(end) => charge.keeper.on_grant(id, end, now),
+            End::Release(end) => charge.keeper.on_release(id, end, now),
+        }
+    }
+
+    fn hear(&mut self, report: Option<Report>) {
+        let Some(report) = report else { return };
+        let now = self.node.clock.now();
+        self.roster.hear(&report, now);
+        self.node
+            .announce(report.poison.iter().map(|it| Event::Poison(*it)).collect());
+        self.count(&report.loads, now);
+    }
+
+    fn order(&mut self, now: Millis) {
+        for (service, charge) in &mut self.charges {
+            for order in charge.keeper.step(now) {
+                let Some(address) = address_of(&self.node, &order.life.target) else {
+                    continue;
+                };
+                let node = Arc::clone(&self.node);
+                let ends = self.ends.clone();
+                let service = Arc::clone(service);
+                tokio::spawn(async move {
+                    let id = order.id;
+                    let end = send(&node, address, &order).await;
+                    // The tenure may have ended meanwhile.
+                    let _ = ends.send(Ended { service, id, end });
+                });
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        let mut events = Vec::new();
+        for (service, charge) in &mut self.charges {
+            for slice in charge.keeper.take_changed() {
+                events.push(Event::Slice(Arc::clone(service), slice));
+            }
+        }
+        let now = self.node.clock.now();
+        events.extend(self.roster.changed(now).map(Event::Hosts));
+        if !events.is_empty() {
+            self.node.announce(events);
+        }
+    }
+
+    /// Counts what this host's own gates saw.
+    fn count_own(&mut self, now: Millis) {
+        let (_, loads) = loads::collect(&self.node);
+        self.count(&loads, now);
+    }
+}
+
+fn address_of(node: &Node, target: &str) -> Option<SocketAddr> {
+    let targets = node.targets();
+    let mut all = targets.all();
+    let address = all.find(|(name, _)| ***name == *target);
+    address.map(|(_, it)| it.address)
+}
+
+async fn send(node: &Node, address: SocketAddr, order: &Order) -> End {
+    match order.kind {
+        OrderKind::Grant { .. } => End::Grant(node.target_api.grant(address, order).await),
+        OrderKind::Release => End::Release(node.target_api.release(address, order).await),
+    }
+}
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -1,32 +1,49 @@
-//! Watches what the operator and the targets write to the store.
+//! Reads what the operator and the targets write to the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use coordinator::Millis;
 
 use crate::{
     node::Node,
+    peers::Event,
     ports::{Read, StoreError, Topic, Update},
 };
 
 /// How long the store holds a watch without news. A watch on a connection that went silent is
 /// noticed after this time.
-const WAIT: Duration = Duration::from_secs(2);
+const WAIT: Duration = Duration::from_millis(1_500);
 
 /// Pause after a failed call.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(200);
 
-/// Keeps the configuration up to date.
-pub async fn watch_catalog(node: Arc<Node>) {
-    watch(&node, Topic::Catalog).await;
+/// When each topic was last in step with the store.
+#[derive(Debug, Default)]
+pub struct Steps {
+    at: Mutex<[Millis; 2]>,
 }
 
-/// Keeps the list of targets up to date.
-pub async fn watch_targets(node: Arc<Node>) {
-    watch(&node, Topic::Targets).await;
+impl Steps {
+    /// Notes that a topic was in step at `at`, and tells the node when both were.
+    fn note(&self, node: &Node, topic: Topic, at: Millis) {
+        let mut steps = self.at.lock().expect("no holder of the lock panics");
+        steps[topic as usize] = at;
+        let both = steps[0].min(steps[1]);
+        if both > 0 {
+            node.set_in_step(both);
+        }
+    }
 }
 
-async fn watch(node: &Node, topic: Topic) {
+/// Keeps a topic up to date for ever.
+pub async fn watch(node: Arc<Node>, topic: Topic, steps: Arc<Steps>) {
     let mut rev = None;
+    let mut outage: Option<Millis> = None;
     loop {
+        let sent = node.clock.now();
         let read = match rev {
             None => node.store.read(topic).await,
             Some(rev) => node.store.watch(topic, rev, WAIT).await,
@@ -35,44 +52,54 @@
             Ok(read) => {
                 let complete = rev.is_none();
                 rev = Some(read.rev);
-                apply(node, topic, read, complete);
+                apply(&node, topic, read, complete);
+                let at = if complete { sent } else { node.clock.now() };
+                steps.note(&node, topic, at);
+                outage = None;
             }
             Err(StoreError::HistoryGone) => rev = None,
             Err(err) => {
-                log::debug!("the store cannot be read: {err}");
+                if outage.is_none() {
+                    log::warn!("the store cannot be watched: {err}");
+                    outage = Some(sent);
+                }
                 tokio::time::sleep(PAUSE).await;
             }
         }
     }
 }
 
+/// Reads a topic once; returns whether that worked.
+pub async fn read_once(node: &Node, topic: Topic) -> bool {
+    match node.store.read(topic).await {
+        Ok(read) => {
+            apply(node, topic, read, true);
+            true
+        }
+        Err(err) => {
+            log::debug!("the store cannot be read: {err}");
+            false
+        }
+    }
+}
+
 fn apply(node: &Node, topic: Topic, read: Read, complete: bool) {
-    let now = node.clock.now();
+    let mut events = Vec::new();
     let mut names = Vec::new();
-    let mut changed = false;
     for record in read.records {
-        match record.update {
-            Update::Catalog(catalog) => {
-                let known = node.catalog.load().as_ref().map(|it| it.version());
-                if known.is_none_or(|it| it < catalog.version()) {
-                    log::info!(version = catalog.version(); "a configuration is in force");
-                    node.catalog.store(Some(catalog));
-                    changed = true;
-                }
-            }
+        events.push(match record.update {
+            Update::Catalog(catalog) => Event::Catalog(catalog),
             Update::Target(name, entry) => {
-                changed |= node.targets_mut().apply(&name, record.rev, entry, now);
-                names.push(name);
+                names.push(Arc::clone(&name));
+                Event::Target(name, record.rev, entry)
             }
-        }
+        });
     }
     if complete && topic == Topic::Targets {
-        let mut targets = node.targets_mut();
-        for name in targets.missing_from(&names, read.rev) {
-            changed |= targets.apply(&name, read.rev, None, now);
+        let missing = node.targets().missing_from(&names, read.rev);
+        for name in missing {
+            events.push(Event::Target(name, read.rev, None));
         }
     }
-    if changed {
-        node.changed.notify_waiters();
-    }
+    node.announce(events);
 }
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -1,97 +1,214 @@
-//! Finds a target for a request and repeats the request where that is safe.
+//! Finds the gateway of a request's target and repeats the request where that is safe.
 
 use std::{sync::Arc, time::Duration};
 
+use admission::RetryVerdict;
+use coordinator::Millis;
 use http::Response;
 use refusal::{Ran, Reason, Refusal};
 use routing::Repeat;
 
 use super::{request::Call, server::Body};
 use crate::{
-    gateway::{self, Outcome},
+    gateway::{self, GateId, Outcome, Patience, Task},
     node::Node,
-    state::{TargetEntry, TargetState},
+    peers::HostInfo,
+    state::TargetState,
 };
 
-/// Pause before a request looks for an owner again.
-const OWNER_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause before a request looks for its owner again.
+const OWNER_PAUSE: Duration = Duration::from_millis(25);
+
+/// Longest time for which a request waits for its key to have an owner.
+const OWNER_WAIT_MS: Millis = 700;
 
 /// Answers a request, or says why it is refused.
 pub async fn run(node: &Arc<Node>, call: &Call) -> Result<Response<Body>, Refusal> {
-    let mut sent = 0;
-    let mut ran = Ran::NotRun;
-    let mut last = Reason::NoOwner;
+    let mut task = call.task.clone();
+    let mut delivery = Delivery {
+        node,
+        call,
+        sent: 0,
+        ran: Ran::NotRun,
+        refused: Vec::new(),
+    };
+    node.budgets.on_request(&task.service, node.clock.now());
     loop {
         let now = node.clock.now();
-        if now >= call.end() {
-            let reason = match ran {
-                Ran::NotRun => last,
+        if now >= task.end {
+            let reason = match delivery.ran {
+                Ran::NotRun => Reason::DeadlineBeforeStart,
                 Ran::Unknown => Reason::DeadlineAfterStart,
             };
-            return Err(refusal(reason, ran));
+            return Err(delivery.refusal(reason));
         }
-        let outcome = match find(node, call) {
-            None => Outcome::NotRun(Reason::NoOwner),
-            Some((name, entry)) => gateway::run(node, &name, &entry, call).await,
-        };
+        let outcome = delivery.attempt(&mut task).await;
         match outcome {
             Outcome::Answered(response) => return Ok(response),
-            Outcome::NotRun(reason) => {
-                last = reason;
-                match reason {
-                    Reason::NoOwner | Reason::NotGateway | Reason::TargetUnreachable => {
-                        tokio::time::sleep(OWNER_PAUSE).await;
-                    }
-                    _ => return Err(refusal(reason, ran)),
+            Outcome::NotRun { reason, offered } => {
+                delivery.not_run(&task, reason, offered).await?;
+            }
+            Outcome::Unknown(reason) => delivery.unknown(reason)?,
+        }
+    }
+}
+
+/// The state of a request at its entry.
+struct Delivery<'a> {
+    node: &'a Arc<Node>,
+    call: &'a Call,
+    /// Times that it may have run.
+    sent: u32,
+    ran: Ran,
+    /// Gates that had no room for it.
+    refused: Vec<GateId>,
+}
+
+impl Delivery<'_> {
+    async fn attempt(&self, task: &mut Task) -> Outcome {
+        let Some((gate, patience)) = self.choose() else {
+            return Outcome::not_sent(Reason::NoOwner);
+        };
+        task.gate = gate;
+        task.patience = patience;
+        match gateway_of(self.node, &task.gate) {
+            Some(host) if host.name != self.node.info.name => {
+                let outcome = self
+                    .node
+                    .forwarder
+                    .send(self.node, host.forward, task)
+                    .await;
+                if matches!(
+                    outcome,
+                    Outcome::NotRun {
+                        reason: Reason::OwnerUnreachable,
+                        ..
+                    } | Outcome::Unknown(Reason::GatewayLost)
+                ) {
+                    self.node.suspects.note(&host.name, self.node.clock.now());
                 }
+                outcome
             }
-            Outcome::Unknown(reason) => {
-                ran = Ran::Unknown;
-                last = reason;
-                sent += 1;
-                if call.route.repeat == Repeat::Forbidden || sent >= call.route.attempts {
-                    return Err(refusal(reason, ran));
+            _ => gateway::run(self.node, task).await,
+        }
+    }
+
+    /// Decides what follows an attempt that did not run.
+    async fn not_run(&mut self, task: &Task, reason: Reason, offered: bool) -> Result<(), Refusal> {
+        let now = self.node.clock.now();
+        if offered && self.node.budgets.try_retry(&task.service, now) == RetryVerdict::Exhausted {
+            return Err(self.refusal(reason));
+        }
+        match reason {
+            Reason::QueueFull | Reason::TargetShed | Reason::TargetFailing
+                if task.patience == Patience::Objective =>
+            {
+                self.refused.push(task.gate.clone());
+                Ok(())
+            }
+            Reason::OwnerUnreachable | Reason::TargetUnreachable if task.key.is_none() => {
+                self.refused.push(task.gate.clone());
+                Ok(())
+            }
+            Reason::NoOwner
+            | Reason::NotGateway
+            | Reason::Fenced
+            | Reason::TargetDraining
+            | Reason::OwnerUnreachable
+            | Reason::TargetUnreachable => {
+                if now >= self.call.arrived + OWNER_WAIT_MS {
+                    return Err(self.refusal(reason));
                 }
+                let changed = self.node.changed.notified();
+                // Whether the owners changed or the time is over, the owner is looked up again.
+                let _ = tokio::time::timeout(OWNER_PAUSE, changed).await;
+                Ok(())
             }
+            _ => Err(self.refusal(reason)),
         }
     }
-}
 
-fn refusal(reason: Reason, ran: Ran) -> Refusal {
-    let mut refusal = Refusal::new(reason);
-    refusal.ran = ran;
-    refusal
-}
+    /// Decides what follows an attempt that may have run.
+    fn unknown(&mut self, reason: Reason) -> Result<(), Refusal> {
+        self.ran = Ran::Unknown;
+        self.sent += 1;
+        let route = &self.call.route;
+        if route.repeat == Repeat::Forbidden || self.sent >= route.attempts {
+            return Err(self.refusal(reason));
+        }
+        let now = self.node.clock.now();
+        let service = &self.call.task.service;
+        if self.node.budgets.try_retry(service, now) == RetryVerdict::Exhausted {
+            return Err(self.refusal(reason));
+        }
+        Ok(())
+    }
 
-/// The target that may run the request.
-fn find(node: &Node, call: &Call) -> Option<(Arc<str>, Arc<TargetEntry>)> {
-    let targets = node.targets();
-    let Some(key) = call.key else {
-        let region = node.settings.region(&node.settings.place);
-        let mut best = None;
-        for (name, entry) in targets.registered() {
-            if entry.service != call.service.name || entry.state != TargetState::Ready {
+    fn refusal(&self, reason: Reason) -> Refusal {
+        let mut refusal = Refusal::new(reason);
+        refusal.ran = self.ran;
+        if reason.ran() == Ran::Unknown {
+            refusal.ran = Ran::Unknown;
+        }
+        refusal
+    }
+
+    /// The gate for the next attempt.
+    fn choose(&self) -> Option<(GateId, Patience)> {
+        let node = self.node;
+        let task = &self.call.task;
+        if let Some(key) = task.key {
+            let tables = node.tables();
+            let slice = tables.get(&task.service)?.find(key)?;
+            let target = Arc::clone(&slice.owner.target);
+            return Some((GateId::Target(target), Patience::Deadline));
+        }
+        let mut places: Vec<(u8, Arc<str>)> = Vec::new();
+        for (_, entry) in node.targets().registered() {
+            if entry.service != task.service || entry.state != TargetState::Ready {
                 continue;
             }
-            let gates = node.gates();
-            let running = gates.get(name).map_or(0, |it| it.running());
-            let distance = if entry.place == node.settings.place {
-                0
-            } else if node.settings.region(&entry.place) == region {
-                1
-            } else {
-                2
-            };
-            let rank = (running / entry.slots.max(1) as usize, distance, running);
-            if best.as_ref().is_none_or(|(it, _, _)| rank < *it) {
-                best = Some((rank, Arc::clone(name), Arc::clone(entry)));
+            if places.iter().any(|it| it.1 == entry.place) {
+                continue;
             }
+            places.push((distance(node, &entry.place), Arc::clone(&entry.place)));
+        }
+        places.sort();
+        let gates = places.into_iter().map(|(_, place)| GateId::Pool {
+            service: Arc::clone(&task.service),
+            place,
+        });
+        let gates: Vec<GateId> = gates.collect();
+        let fresh = gates.iter().find(|it| !self.refused.contains(it));
+        match fresh {
+            Some(gate) if gates.len() > 1 => Some((gate.clone(), Patience::Objective)),
+            _ => Some((gates.first()?.clone(), Patience::Deadline)),
         }
-        return best.map(|(_, name, entry)| (name, entry));
+    }
+}
+
+/// 0 for the same data centre, 1 for the same region, 2 for another one.
+fn distance(node: &Node, place: &Arc<str>) -> u8 {
+    let own = &node.settings.place;
+    if place == own {
+        0
+    } else if node.settings.region(place) == node.settings.region(own) {
+        1
+    } else {
+        2
+    }
+}
+
+/// The host that is the gateway of a gate; this host if there is no better one.
+fn gateway_of(node: &Node, gate: &GateId) -> Option<HostInfo> {
+    let place = match gate {
+        GateId::Pool { place, .. } => Arc::clone(place),
+        GateId::Target(target) => Arc::clone(&node.targets().get(target)?.place),
     };
-    let tables = node.tables();
-    let slice = tables.get(&call.service.name)?.find(key)?;
-    let entry = targets.get(&slice.owner.target)?;
-    (entry.state == TargetState::Ready)
-        .then(|| (Arc::clone(&slice.owner.target), Arc::clone(entry)))
+    let hosts = node.hosts.load();
+    let now = node.clock.now();
+    let mut ranked = hosts.ranked(&place, &gate.to_string()).into_iter();
+    ranked
+        .find(|it| !node.suspects.is_suspect(&it.name, now))
+        .cloned()
 }
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -4,13 +4,16 @@
 
 use bytes::Bytes;
 use coordinator::{Key, Millis};
-use http::{HeaderMap, Method, Request, header, uri::PathAndQuery};
+use http::{HeaderMap, Request, header, uri::PathAndQuery};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use refusal::Reason;
-use routing::{Ownership, Route, Service};
+use routing::{Ownership, Route};
 
-use crate::node::Node;
+use crate::{
+    gateway::{GateId, Patience, Task},
+    node::Node,
+};
 
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 8] = [
@@ -27,29 +30,15 @@
 /// Bytes of a body for which the router has room; larger ones are refused.
 const BODY_BYTES: usize = 8 << 20;
 
-/// A request with the route, the service and the key that were found for it.
+/// A request with its route, and the task that gateways get.
 #[derive(Clone, Debug)]
 pub struct Call {
     /// Its route.
     pub route: Arc<Route>,
-    /// The service that serves it.
-    pub service: Arc<Service>,
-    /// Its key, if the service has keys.
-    pub key: Option<Key>,
-    /// Its method.
-    pub method: Method,
-    /// Its path and query.
-    pub path: PathAndQuery,
-    /// Its headers, without those that concern one connection only.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
     /// When it arrived.
     pub arrived: Millis,
-    /// When its caller gives up.
-    pub deadline: Millis,
-    /// When the operator wants it answered at the latest.
-    pub timeout: Millis,
+    /// The task; its gate is chosen later.
+    pub task: Task,
 }
 
 impl Call {
@@ -63,14 +52,13 @@
         let route = catalog
             .find(host, parts.uri.path())
             .ok_or(Reason::UnknownService)?;
-        let share = {
+        let service = {
             let mut pickers = node.pickers();
             let picker = pickers.entry(Arc::clone(&route.name)).or_default();
-            picker.pick(&route.shares).ok_or(Reason::UnknownService)?
+            let share = picker.pick(&route.shares);
+            let service = share.and_then(|it| catalog.service(&it.service));
+            service.ok_or(Reason::UnknownService)?
         };
-        let service = catalog
-            .service(&share.service)
-            .ok_or(Reason::UnknownService)?;
         let key = match service.ownership {
             Ownership::Shared => None,
             Ownership::Keyed { .. } => Some(key_of(node, &parts.headers)?),
@@ -85,28 +73,28 @@
         };
         let limit = Duration::from_millis(deadline.saturating_sub(arrived));
         let body = read_body(body, catalog.limits().body_bytes.min(BODY_BYTES), limit).await?;
-        Ok(Self {
-            route: Arc::clone(route),
-            service: Arc::clone(service),
+        let path = parts.uri.into_parts().path_and_query;
+        let task = Task {
+            gate: GateId::Target(Arc::from("")),
+            service: Arc::clone(&service.name),
+            route: Arc::clone(&route.name),
             key,
+            priority: route.priority,
+            patience: Patience::Deadline,
+            objective: arrived + route.objective_ms,
+            end: deadline.min(timeout),
+            deadline,
             method: parts.method,
-            path: parts
-                .uri
-                .into_parts()
-                .path_and_query
-                .unwrap_or_else(|| PathAndQuery::from_static("/")),
+            path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
             headers: end_to_end(parts.headers),
             body,
+        };
+        Ok(Self {
+            route: Arc::clone(route),
             arrived,
-            deadline,
-            timeout,
+            task,
         })
     }
-
-    /// When the request must have its final answer.
-    pub fn end(&self) -> Millis {
-        self.deadline.min(self.timeout)
-    }
 }
 
 async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Reason> {
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -4,73 +4,138 @@
 
 use admission::End;
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode};
+use coordinator::Phase;
+use http::{HeaderValue, Request, Response, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, Full};
 use pool::{ConnectError, Freshness};
 use refusal::Reason;
 
-use super::Gate;
-use crate::{
-    entry::{Call, end_to_end},
-    node::Node,
-    state::TargetEntry,
-};
+use super::{GateId, Task, gate::Turn};
+use crate::{entry::end_to_end, node::Node};
 
 /// Longest wait for a new connection to a target.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
+/// Longest wait for a target to be granted a key that is moving to it.
+const GRANT_WAIT_MS: u64 = 600;
+
 /// How an attempt to have a request answered by a target ended.
 #[derive(Debug)]
 pub enum Outcome {
     /// The target answered.
     Answered(Response<Full<Bytes>>),
     /// The request did not run, and will not.
-    NotRun(Reason),
+    NotRun {
+        /// Why.
+        reason: Reason,
+        /// Whether it reached a target.
+        offered: bool,
+    },
     /// The request may have run.
     Unknown(Reason),
 }
 
-/// Waits for a slot of the target and sends it the request.
-pub async fn run(node: &Arc<Node>, name: &Arc<str>, entry: &TargetEntry, call: &Call) -> Outcome {
-    let gate = gate_of(node, name, entry, call);
-    let key = call.key.map_or(0, u64::from);
-    let turn = match gate.enter(call.route.priority, key, call.end()).await {
+impl Outcome {
+    /// The request did not reach a target.
+    pub fn not_sent(reason: Reason) -> Self {
+        Self::NotRun {
+            reason,
+            offered: false,
+        }
+    }
+}
+
+/// Waits for a slot of a target and sends it the request.
+pub async fn run(node: &Arc<Node>, task: &Task) -> Outcome {
+    if let Err(reason) = await_grant(node, task).await {
+        return Outcome::not_sent(reason);
+    }
+    let gate = node.gates.get(&task.gate);
+    let turn = match gate.enter(node, task).await {
         Ok(turn) => turn,
-        Err(reason) => return Outcome::NotRun(reason),
+        Err(reason) => return Outcome::not_sent(reason),
     };
-    let outcome = exchange(node, &gate, name, call).await;
-    turn.end(match &outcome {
-        Outcome::Answered(_) => End::Answered,
-        Outcome::NotRun(Reason::TargetShed) => End::Shed,
-        Outcome::NotRun(_) | Outcome::Unknown(_) => End::Failed,
-    });
+    if owns(node, task) == Owns::No {
+        return Outcome::not_sent(Reason::NotGateway);
+    }
+    let outcome = exchange(node, &turn, task).await;
+    let (end, health) = match &outcome {
+        Outcome::Answered(answer) if answer.status().is_server_error() => {
+            (End::Answered, Some(admission::Outcome::Failed))
+        }
+        Outcome::Answered(_) => (End::Answered, Some(admission::Outcome::Answered)),
+        Outcome::NotRun {
+            reason: Reason::TargetShed,
+            ..
+        } => (End::Shed, Some(admission::Outcome::Shed)),
+        Outcome::NotRun {
+            reason: Reason::TargetUnreachable,
+            ..
+        }
+        | Outcome::Unknown(Reason::TargetLost) => (End::Failed, Some(admission::Outcome::Failed)),
+        Outcome::NotRun { .. } | Outcome::Unknown(_) => (End::Failed, None),
+    };
+    turn.end(end, health);
     outcome
 }
 
-fn gate_of(node: &Node, name: &Arc<str>, entry: &TargetEntry, call: &Call) -> Arc<Gate> {
-    let mut gates = node.gates();
-    let gate = gates.entry(Arc::clone(name)).or_insert_with(|| {
-        let connections = usize::try_from(call.service.connections).unwrap_or(usize::MAX);
-        Arc::new(Gate::new(entry, connections, node.clock))
-    });
-    Arc::clone(gate)
+/// Whether the target owns the key of a task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Owns {
+    Yes,
+    Soon,
+    No,
+}
+
+fn owns(node: &Node, task: &Task) -> Owns {
+    let (GateId::Target(target), Some(key)) = (&task.gate, task.key) else {
+        return Owns::Yes;
+    };
+    let tables = node.tables();
+    let Some(slice) = tables.get(&task.service).and_then(|it| it.find(key)) else {
+        return Owns::Yes;
+    };
+    if slice.owner.target != *target {
+        return Owns::No;
+    }
+    match slice.phase {
+        Phase::Held => Owns::Yes,
+        Phase::Pending => Owns::Soon,
+    }
+}
+
+/// Waits until the target has been granted the key.
+async fn await_grant(node: &Node, task: &Task) -> Result<(), Reason> {
+    let until = task.end.min(node.clock.now() + GRANT_WAIT_MS);
+    loop {
+        let changed = node.changed.notified();
+        tokio::pin!(changed);
+        changed.as_mut().enable();
+        match owns(node, task) {
+            Owns::Yes => return Ok(()),
+            Owns::No => return Err(Reason::NotGateway),
+            Owns::Soon => {}
+        }
+        let left = until.saturating_sub(node.clock.now());
+        if left == 0 {
+            return Err(Reason::NoOwner);
+        }
+        // Whether the owners changed or the time is over, the owner is looked up again.
+        let _ = tokio::time::timeout(Duration::from_millis(left), changed).await;
+    }
 }
 
-async fn exchange(node: &Node, gate: &Gate, name: &Arc<str>, call: &Call) -> Outcome {
-    let now = node.clock.now();
-    let left = Duration::from_millis(call.end().saturating_sub(now));
-    let sender = gate
-        .pool
-        .checkout(Freshness::Any, left.min(CONNECT_LIMIT))
-        .await;
-    let mut sender = match sender {
+async fn exchange(node: &Node, turn: &Turn, task: &Task) -> Outcome {
+    let left = Duration::from_millis(task.end.saturating_sub(node.clock.now()));
+    let limit = left.min(CONNECT_LIMIT);
+    let mut sender = match turn.pool.checkout(Freshness::Any, limit).await {
         Ok(sender) => sender,
         Err(ConnectError::Refused | ConnectError::Unreachable) => {
-            return Outcome::NotRun(Reason::TargetUnreachable);
+            return Outcome::not_sent(Reason::TargetUnreachable);
         }
-        Err(ConnectError::Exhausted) => return Outcome::NotRun(Reason::TargetShed),
+        Err(ConnectError::Exhausted) => return Outcome::not_sent(Reason::TargetShed),
     };
-    let request = request_of(node, name, call);
+    let request = request_of(node, &turn.target, task);
     let exchange = async {
         let answer = sender.send_request(request).await?;
         let (parts, body) = answer.into_parts();
@@ -80,22 +145,28 @@
     let (parts, body) = match tokio::time::timeout(left, exchange).await {
         Err(_) => return Outcome::Unknown(Reason::DeadlineAfterStart),
         Ok(Err(err)) => {
-            log::debug!("a connection to target {name} failed: {err}");
+            log::debug!("a connection to target {} failed: {err}", turn.target);
             return Outcome::Unknown(Reason::TargetLost);
         }
         Ok(Ok(answer)) => answer,
     };
-    let attempt = call.headers.get(&node.dialect.attempt);
-    if parts.headers.get(&node.dialect.attempt) != attempt {
+    if parts.headers.get(&node.dialect.attempt) != task.headers.get(&node.dialect.attempt) {
         // The answer belongs to another request; nothing on this connection can be trusted.
         return Outcome::Unknown(Reason::TargetLost);
     }
-    gate.pool.put_back(sender);
+    turn.pool.put_back(sender);
+    judge(node, parts, body)
+}
+
+fn judge(node: &Node, parts: Parts, body: Bytes) -> Outcome {
     if parts.headers.contains_key(&node.dialect.not_run) {
-        return Outcome::NotRun(match parts.status {
-            StatusCode::MISDIRECTED_REQUEST => Reason::NotGateway,
-            _ => Reason::TargetShed,
-        });
+        return Outcome::NotRun {
+            reason: match parts.status {
+                StatusCode::MISDIRECTED_REQUEST => Reason::Fenced,
+                _ => Reason::TargetShed,
+            },
+            offered: true,
+        };
     }
     let sealed = parts.headers.contains_key(&node.dialect.seal);
     if parts.status.is_success() && !sealed {
@@ -104,21 +175,24 @@
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = parts.status;
     *response.headers_mut() = end_to_end(parts.headers);
-    response.headers_mut().remove(http::header::CONTENT_LENGTH);
+    response.headers_mut().remove(header::CONTENT_LENGTH);
     Outcome::Answered(response)
 }
 
-fn request_of(node: &Node, name: &Arc<str>, call: &Call) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.path.clone().into();
+fn request_of(node: &Node, target: &str, task: &Task) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(task.body.clone()));
+    *request.method_mut() = task.method.clone();
+    *request.uri_mut() = task.path.clone().into();
     let headers = request.headers_mut();
-    headers.clone_from(&call.headers);
-    headers.remove(http::header::CONTENT_LENGTH);
-    let left = call.deadline.saturating_sub(node.clock.now());
+    headers.clone_from(&task.headers);
+    headers.remove(header::CONTENT_LENGTH);
+    let left = task.deadline.saturating_sub(node.clock.now());
     headers.insert(&node.dialect.deadline, HeaderValue::from(left));
-    if let Ok(name) = HeaderValue::from_str(name) {
-        headers.insert(&node.dialect.target, name);
+    match HeaderValue::from_str(target) {
+        Ok(target) => {
+            headers.insert(&node.dialect.target, target);
+        }
+        Err(err) => log::error!("the name of target {target:?} cannot be sent: {err}"),
     }
     request
 }
--- /dev/null
+++ b/crates/router/src/gateway/forward.rs
@@ -0,0 +1,91 @@
+//! Requests to the gateway on another host.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use refusal::Reason;
+
+use super::{Outcome, Task, hop};
+use crate::node::Node;
+
+/// Interval of HTTP/2 pings while requests are in flight; they find connections that went silent.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Longest wait for the answer to a ping.
+const PING_LIMIT: Duration = Duration::from_millis(700);
+
+/// Longest wait for a new connection to another host.
+const CONNECT_LIMIT: Duration = Duration::from_millis(250);
+
+/// How much longer this host waits than the gateway, whose own refusal knows whether the request
+/// ran.
+const ALLOWANCE: Duration = Duration::from_millis(30);
+
+/// HTTP/2 window of one answer.
+const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+
+/// HTTP/2 window of one connection.
+const CONNECTION_WINDOW_BYTES: u32 = 1024 * 1024;
+
+/// One multiplexed connection to each other host.
+pub struct Forwarder {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Forwarder {
+    /// Creates a forwarder without connections.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .pool_timer(TokioTimer::new())
+            .http2_only(true)
+            .http2_keep_alive_interval(PING_INTERVAL)
+            .http2_keep_alive_timeout(PING_LIMIT)
+            .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
+            .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .build(connector);
+        Self { client }
+    }
+
+    /// Sends a task to the gateway at `address`.
+    pub async fn send(&self, node: &Node, address: SocketAddr, task: &Task) -> Outcome {
+        let now = node.clock.now();
+        let request = hop::request_of(task, &address.to_string(), now);
+        let limit = Duration::from_millis(task.end.saturating_sub(now)) + ALLOWANCE;
+        let exchange = async {
+            let answer = match self.client.request(request).await {
+                Ok(answer) => answer,
+                Err(err) if err.is_connect() => {
+                    return Outcome::NotRun {
+                        reason: Reason::OwnerUnreachable,
+                        offered: false,
+                    };
+                }
+                Err(err) => {
+                    log::debug!("forwarding to {address} failed: {err}");
+                    return Outcome::Unknown(Reason::GatewayLost);
+                }
+            };
+            let (parts, body) = answer.into_parts();
+            match body.collect().await {
+                Ok(body) => hop::outcome_of(http::Response::from_parts(parts, body.to_bytes())),
+                Err(err) => {
+                    log::debug!("an answer of {address} was cut: {err}");
+                    Outcome::Unknown(Reason::GatewayLost)
+                }
+            }
+        };
+        match tokio::time::timeout(limit, exchange).await {
+            Ok(outcome) => outcome,
+            Err(_) => Outcome::Unknown(Reason::DeadlineAfterStart),
+        }
+    }
+}
--- a/crates/router/src/gateway/gate.rs
+++ b/crates/router/src/gateway/gate.rs
@@ -1,19 +1,24 @@
-//! The queue and the connections of one target.
+//! The queue in front of one target, or of several that can replace each other.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
-use admission::{Decision, Decisions, End, Limits, Offer, Queue, Ticket};
-use coordinator::Millis;
+use admission::{Decision, Decisions, End, Limits, Offer, Outcome, Queue, Ticket};
+use coordinator::{Key, Millis};
 use pool::Pool;
 use process::BootClock;
 use refusal::Reason;
 use tokio::sync::oneshot;
 
-use crate::state::TargetEntry;
+use super::{GateId, Patience, Task, member::Member};
+use crate::{
+    node::Node,
+    peers::{KeyCount, RouteCost, TargetLoad},
+    state::TargetState,
+};
 
 /// Requests that wait for one slot of a target.
 const DEPTH_PER_SLOT: usize = 32;
@@ -21,10 +26,14 @@
 /// Waiting requests of one caller in percent of the queue; callers are not told apart.
 const CALLER_SHARE: u32 = 100;
 
-/// The queue and the connections of one target.
-pub struct Gate {
-    /// Connections to the target.
-    pub pool: Pool,
+/// Connections to a target of a service that the configuration does not name.
+const CONNECTIONS: usize = 16;
+
+/// Longest time between two looks at the state of targets while a request waits.
+const LOOK_MS: u64 = 250;
+
+/// The queue in front of one target, or of several that can replace each other.
+pub(super) struct Gate {
     clock: BootClock,
     inner: Mutex<Inner>,
 }
@@ -33,62 +42,73 @@
     queue: Queue,
     waiting: HashMap<u64, oneshot::Sender<Decision>>,
     next: u64,
+    /// Version of the list of targets that `members` come from.
+    version: Option<u64>,
+    members: Vec<Member>,
+    keys: BTreeMap<Key, u32>,
+    costs: BTreeMap<Arc<str>, (u32, u64)>,
 }
 
-/// The place of a running request; it must be ended.
-pub struct Turn {
+/// The place of a running request.
+pub(super) struct Turn {
     gate: Arc<Gate>,
     id: u64,
     started: Millis,
+    route: Arc<str>,
     ended: bool,
+    /// The target that runs it.
+    pub(super) target: Arc<str>,
+    /// Connections to the target.
+    pub(super) pool: Arc<Pool>,
 }
 
 impl Gate {
-    /// Creates the gate of a target.
-    pub fn new(entry: &TargetEntry, connections: usize, clock: BootClock) -> Self {
-        let slots = usize::try_from(entry.slots).unwrap_or(1).max(1);
+    pub(super) fn new(clock: BootClock) -> Self {
         let limits = Limits {
-            slots,
-            depth: slots * DEPTH_PER_SLOT,
+            slots: 0,
+            depth: 0,
             caller_share: CALLER_SHARE,
         };
         Self {
-            pool: Pool::new(entry.address, connections),
             clock,
             inner: Mutex::new(Inner {
                 queue: Queue::new(limits),
                 waiting: HashMap::new(),
                 next: 0,
+                version: None,
+                members: Vec::new(),
+                keys: BTreeMap::new(),
+                costs: BTreeMap::new(),
             }),
         }
     }
 
-    /// Requests that run.
-    pub fn running(&self) -> usize {
-        self.lock().queue.running()
-    }
-
     /// Waits for a slot.
-    pub async fn enter(
-        self: &Arc<Self>,
-        priority: u8,
-        key: u64,
-        deadline: Millis,
-    ) -> Result<Turn, Reason> {
+    pub(super) async fn enter(self: &Arc<Self>, node: &Node, task: &Task) -> Result<Turn, Reason> {
         let (id, decided) = {
             let mut inner = self.lock();
+            let now = self.clock.now();
+            if let Some(key) = task.key {
+                *inner.keys.entry(key).or_default() += 1;
+            }
+            inner.refresh(node, &task.gate, &task.service, now);
+            if inner.members.is_empty() {
+                return Err(Reason::NoOwner);
+            }
+            if task.patience == Patience::Objective && !inner.is_quick(now, task) {
+                return Err(Reason::QueueFull);
+            }
             let id = inner.next;
             inner.next += 1;
-            let now = self.clock.now();
             let ticket = Ticket {
                 id,
-                key,
+                key: task.key.map_or(0, u64::from),
                 caller: 0,
-                priority,
-                deadline,
+                priority: task.priority,
+                deadline: task.end,
             };
             match inner.queue.offer(now, ticket) {
-                Offer::Start => return Ok(self.turn(id)),
+                Offer::Start => return self.turn(&mut inner, id, task),
                 Offer::Refuse(reason) => return Err(reason),
                 Offer::Wait => {}
             }
@@ -103,40 +123,79 @@
             id,
             left: false,
         };
-        let decision = self.wait(decided).await;
+        let decision = self.wait(node, task, decided).await;
         place.left = true;
         match decision {
-            Decision::Start(_) => Ok(self.turn(id)),
+            Decision::Start(_) => self.turn(&mut self.lock(), id, task),
             Decision::Refuse(_, reason) => Err(reason),
         }
     }
 
-    async fn wait(&self, mut decided: oneshot::Receiver<Decision>) -> Decision {
+    /// What the gate saw of its target since the last call.
+    pub(super) fn take_load(&self, target: &Arc<str>) -> Option<TargetLoad> {
+        let mut inner = self.lock();
+        if inner.keys.is_empty() && inner.costs.is_empty() {
+            return None;
+        }
+        let keys = std::mem::take(&mut inner.keys).into_iter();
+        let costs = std::mem::take(&mut inner.costs).into_iter();
+        Some(TargetLoad {
+            target: Arc::clone(target),
+            keys: keys.map(|(key, count)| KeyCount { key, count }).collect(),
+            costs: costs
+                .map(|(route, (count, busy_ms))| RouteCost {
+                    route,
+                    count,
+                    busy_ms: u32::try_from(busy_ms).unwrap_or(u32::MAX),
+                })
+                .collect(),
+            waiting: u32::try_from(inner.queue.waiting()).unwrap_or(u32::MAX),
+        })
+    }
+
+    async fn wait(
+        &self,
+        node: &Node,
+        task: &Task,
+        mut decided: oneshot::Receiver<Decision>,
+    ) -> Decision {
         loop {
             let due = {
                 let mut inner = self.lock();
                 let now = self.clock.now();
+                inner.refresh(node, &task.gate, &task.service, now);
                 let decisions = inner.queue.expire(now);
                 inner.tell(decisions);
                 inner.queue.next_due(now).map(|it| it.saturating_sub(now))
             };
-            let pause = Duration::from_millis(due.unwrap_or(1_000).clamp(1, 1_000));
-            match tokio::time::timeout(pause, &mut decided).await {
-                Ok(decision) => {
+            let pause = Duration::from_millis(due.unwrap_or(LOOK_MS).clamp(1, LOOK_MS));
+            tokio::select! {
+                decision = &mut decided => {
                     return decision.expect("a waiting request is told what becomes of it");
                 }
-                Err(_) => {}
+                () = tokio::time::sleep(pause) => {}
             }
         }
     }
 
-    fn turn(self: &Arc<Self>, id: u64) -> Turn {
-        Turn {
+    fn turn(self: &Arc<Self>, inner: &mut Inner, id: u64, task: &Task) -> Result<Turn, Reason> {
+        let now = self.clock.now();
+        let Some(member) = inner.pick(now) else {
+            let decisions = inner.queue.finish(now, id, 0, End::Cancelled);
+            inner.tell(decisions);
+            return Err(Reason::NoOwner);
+        };
+        member.running += 1;
+        member.used = now;
+        Ok(Turn {
             gate: Arc::clone(self),
             id,
-            started: self.clock.now(),
+            started: now,
+            route: Arc::clone(&task.route),
             ended: false,
-        }
+            target: Arc::clone(&member.name),
+            pool: Arc::clone(&member.pool),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -145,6 +204,75 @@
 }
 
 impl Inner {
+    /// Brings the members up to date with the list of targets.
+    fn refresh(&mut self, node: &Node, id: &GateId, service: &str, now: Millis) {
+        let targets = node.targets();
+        if self.version != Some(targets.version()) {
+            self.version = Some(targets.version());
+            let connections = node
+                .catalog
+                .load()
+                .as_ref()
+                .and_then(|it| it.service(service).map(|it| it.connections))
+                .and_then(|it| usize::try_from(it).ok())
+                .unwrap_or(CONNECTIONS);
+            let mut old = std::mem::take(&mut self.members);
+            for (name, entry) in targets.registered() {
+                let belongs = match id {
+                    GateId::Target(target) => name == target,
+                    GateId::Pool { service, place } => {
+                        entry.service == *service && entry.place == *place
+                    }
+                };
+                if !belongs || entry.state != TargetState::Ready {
+                    continue;
+                }
+                let known = old.iter().position(|it| {
+                    it.name == *name
+                        && it.entry.born == entry.born
+                        && it.entry.address == entry.address
+                });
+                let mut member = match known {
+                    Some(idx) => old.swap_remove(idx),
+                    None => Member::new(Arc::clone(name), Arc::clone(entry), connections),
+                };
+                member.entry = Arc::clone(entry);
+                self.members.push(member);
+            }
+        }
+        drop(targets);
+        let slots: usize = self.members.iter().map(|it| it.slots(now)).sum();
+        self.queue.set_limits(Limits {
+            slots,
+            depth: (slots * DEPTH_PER_SLOT).max(self.members.len()),
+            caller_share: CALLER_SHARE,
+        });
+    }
+
+    /// Whether the request can be expected to be answered within its objective.
+    fn is_quick(&self, now: Millis, task: &Task) -> bool {
+        let mean = self.members.iter().filter_map(|it| it.mean_ms);
+        let (sum, count) = mean.fold((0.0, 0.0), |it, mean| (it.0 + mean, it.1 + 1.0));
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a service time is positive and far below 2^63 ms"
+        )]
+        let service_ms = if count > 0.0 { (sum / count) as u64 } else { 0 };
+        now + self.queue.wait_estimate(now) + service_ms <= task.objective
+    }
+
+    /// The target that the next request goes to: one with a free slot, the least busy one first.
+    fn pick(&mut self, now: Millis) -> Option<&mut Member> {
+        let busy = |it: &Member| {
+            let slots = it.slots(now).max(1);
+            let full = it.running >= slots;
+            let unusable = it.slots(now) == 0;
+            (unusable, full, it.running * 1_000 / slots, it.used)
+        };
+        self.members.iter_mut().min_by_key(|it| busy(it))
+    }
+
     fn tell(&mut self, decisions: Decisions) {
         for decision in decisions {
             let id = match decision {
@@ -179,19 +307,28 @@
 }
 
 impl Turn {
-    /// Ends the request and starts the next one.
-    pub fn end(mut self, end: End) {
-        self.finish(end);
+    /// Ends the request; `outcome` is what it shows of the target.
+    pub(super) fn end(mut self, end: End, outcome: Option<Outcome>) {
+        self.finish(end, outcome);
     }
 
-    fn finish(&mut self, end: End) {
+    fn finish(&mut self, end: End, outcome: Option<Outcome>) {
         if self.ended {
             return;
         }
         self.ended = true;
         let now = self.gate.clock.now();
-        let mut inner = self.gate.lock();
         let took = now.saturating_sub(self.started);
+        let mut inner = self.gate.lock();
+        if end == End::Answered {
+            let cost = inner.costs.entry(Arc::clone(&self.route)).or_default();
+            cost.0 += 1;
+            cost.1 += took;
+        }
+        let members = &mut inner.members;
+        if let Some(member) = members.iter_mut().find(|it| it.name == self.target) {
+            member.on_end(now, took, outcome);
+        }
         let decisions = inner.queue.finish(now, self.id, took, end);
         inner.tell(decisions);
     }
@@ -199,6 +336,6 @@
 
 impl Drop for Turn {
     fn drop(&mut self) {
-        self.finish(End::Cancelled);
+        self.finish(End::Cancelled, None);
     }
 }
--- /dev/null
+++ b/crates/router/src/gateway/gates.rs
@@ -0,0 +1,59 @@
+//! The gates of one host.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use process::BootClock;
+
+use super::{GateId, gate::Gate};
+use crate::peers::TargetLoad;
+
+/// The gates of the targets whose gateway this host is.
+pub struct Gates {
+    clock: BootClock,
+    map: Mutex<HashMap<GateId, Arc<Gate>>>,
+    taken: AtomicU64,
+}
+
+impl Gates {
+    /// Creates an empty set.
+    pub fn new(clock: BootClock) -> Self {
+        Self {
+            clock,
+            map: Mutex::default(),
+            taken: AtomicU64::new(clock.now()),
+        }
+    }
+
+    /// The gate with this name.
+    pub(super) fn get(&self, id: &GateId) -> Arc<Gate> {
+        let mut map = self.map();
+        if let Some(gate) = map.get(id) {
+            return Arc::clone(gate);
+        }
+        let gate = Arc::new(Gate::new(self.clock));
+        map.insert(id.clone(), Arc::clone(&gate));
+        gate
+    }
+
+    /// Takes what all gates saw, and the milliseconds over which they did.
+    pub fn take_loads(&self) -> (u32, Vec<TargetLoad>) {
+        let now = self.clock.now();
+        let span = now.saturating_sub(self.taken.swap(now, Ordering::Relaxed));
+        let mut loads = Vec::new();
+        for (id, gate) in &*self.map() {
+            let GateId::Target(name) = id else { continue };
+            loads.extend(gate.take_load(name));
+        }
+        (u32::try_from(span).unwrap_or(u32::MAX), loads)
+    }
+
+    fn map(&self) -> MutexGuard<'_, HashMap<GateId, Arc<Gate>>> {
+        self.map.lock().expect("no holder of the lock panics")
+    }
+}
--- /dev/null
+++ b/crates/router/src/gateway/hop.rs
@@ -0,0 +1,158 @@
+//! How a request and its answer travel between hosts, over HTTP/2.
+//!
+//! The path, method, body and headers of the request stay as they are; what the gateway needs
+//! besides stands in headers with short names, which are removed there.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use coordinator::Millis;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri, header};
+use http_body_util::Full;
+use refusal::Reason;
+
+use super::{GateId, Outcome, Patience, Task};
+
+const TARGET: HeaderName = HeaderName::from_static("hop-target");
+const PLACE: HeaderName = HeaderName::from_static("hop-place");
+const SERVICE: HeaderName = HeaderName::from_static("hop-service");
+const ROUTE: HeaderName = HeaderName::from_static("hop-route");
+const KEY: HeaderName = HeaderName::from_static("hop-key");
+const PRIORITY: HeaderName = HeaderName::from_static("hop-priority");
+const PATIENCE: HeaderName = HeaderName::from_static("hop-patience");
+/// Milliseconds that are left of objective, end and deadline.
+const TIMES: HeaderName = HeaderName::from_static("hop-times");
+const HOST: HeaderName = HeaderName::from_static("hop-host");
+const REFUSED: HeaderName = HeaderName::from_static("hop-refused");
+const RAN: HeaderName = HeaderName::from_static("hop-ran");
+
+/// The request that carries a task to the gateway with the authority `to`.
+pub(super) fn request_of(task: &Task, to: &str, now: Millis) -> Request<Full<Bytes>> {
+    let uri = Uri::builder()
+        .scheme("http")
+        .authority(to)
+        .path_and_query(task.path.clone())
+        .build()
+        .expect("an address and a parsed path make a URI");
+    let mut headers = task.headers.clone();
+    if let Some(host) = headers.remove(header::HOST) {
+        headers.insert(HOST, host);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    let mut put = |name: HeaderName, value: &str| match HeaderValue::from_str(value) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(err) => log::error!("{name} cannot be sent: {err}"),
+    };
+    match &task.gate {
+        GateId::Target(target) => put(TARGET, target),
+        GateId::Pool { place, .. } => put(PLACE, place),
+    }
+    put(SERVICE, &task.service);
+    put(ROUTE, &task.route);
+    if let Some(key) = task.key {
+        put(KEY, &key.to_string());
+    }
+    put(PRIORITY, &task.priority.to_string());
+    if task.patience == Patience::Objective {
+        put(PATIENCE, "objective");
+    }
+    let left = |it: Millis| it.saturating_sub(now);
+    let times = [left(task.objective), left(task.end), left(task.deadline)];
+    put(TIMES, &format!("{} {} {}", times[0], times[1], times[2]));
+    let mut request = Request::new(Full::new(task.body.clone()));
+    *request.method_mut() = task.method.clone();
+    *request.uri_mut() = uri;
+    *request.headers_mut() = headers;
+    request
+}
+
+/// The task that a request carries; `None` if it is not one of a host.
+pub(super) fn task_of(request: Request<Bytes>, now: Millis) -> Option<Task> {
+    let (parts, body) = request.into_parts();
+    let mut headers = parts.headers;
+    let mut take = |name: HeaderName| headers.remove(name);
+    let text = |value: Option<HeaderValue>| {
+        let value = value?;
+        value.to_str().ok().map(Arc::<str>::from)
+    };
+    let service = text(take(SERVICE))?;
+    let route = text(take(ROUTE))?;
+    let gate = match text(take(TARGET)) {
+        Some(target) => GateId::Target(target),
+        None => GateId::Pool {
+            service: Arc::clone(&service),
+            place: text(take(PLACE))?,
+        },
+    };
+    let key = text(take(KEY)).and_then(|it| it.parse().ok());
+    let priority = text(take(PRIORITY))?.parse().ok()?;
+    let patience = match take(PATIENCE) {
+        Some(_) => Patience::Objective,
+        None => Patience::Deadline,
+    };
+    let times = text(take(TIMES))?;
+    let mut times = times
+        .split(' ')
+        .map(|it| it.parse().ok().map(|it: u64| now + it));
+    let mut time = || times.next().flatten();
+    let (objective, end, deadline) = (time()?, time()?, time()?);
+    if let Some(host) = take(HOST) {
+        headers.insert(header::HOST, host);
+    }
+    headers.remove(header::CONTENT_LENGTH);
+    Some(Task {
+        gate,
+        service,
+        route,
+        key,
+        priority,
+        patience,
+        objective,
+        end,
+        deadline,
+        method: parts.method,
+        path: parts.uri.into_parts().path_and_query?,
+        headers,
+        body,
+    })
+}
+
+/// The answer that carries an outcome.
+pub(super) fn response_of(outcome: Outcome) -> Response<Full<Bytes>> {
+    let (reason, ran) = match outcome {
+        Outcome::Answered(response) => return response,
+        Outcome::NotRun { reason, offered } => (reason, if offered { "offered" } else { "no" }),
+        Outcome::Unknown(reason) => (reason, "unknown"),
+    };
+    let mut response = Response::new(Full::default());
+    let headers = response.headers_mut();
+    headers.insert(REFUSED, HeaderValue::from_static(reason.label()));
+    headers.insert(RAN, HeaderValue::from_static(ran));
+    response
+}
+
+/// The outcome that an answer carries.
+pub(super) fn outcome_of(response: Response<Bytes>) -> Outcome {
+    let (parts, body) = response.into_parts();
+    let Some(reason) = refused(&parts.headers) else {
+        return Outcome::Answered(Response::from_parts(parts, Full::new(body)));
+    };
+    match parts.headers.get(RAN).map(HeaderValue::as_bytes) {
+        Some(b"no") => Outcome::NotRun {
+            reason,
+            offered: false,
+        },
+        Some(b"offered") => Outcome::NotRun {
+            reason,
+            offered: true,
+        },
+        _ => Outcome::Unknown(reason),
+    }
+}
+
+fn refused(headers: &HeaderMap) -> Option<Reason> {
+    let label = headers.get(REFUSED)?.to_str().ok()?;
+    Some(Reason::from_label(label).unwrap_or(Reason::GatewayLost))
+}
--- /dev/null
+++ b/crates/router/src/gateway/member.rs
@@ -0,0 +1,57 @@
+//! One target behind a gate.
+
+use std::sync::Arc;
+
+use admission::{Health, Outcome};
+use coordinator::Millis;
+use pool::Pool;
+
+use crate::state::TargetEntry;
+
+/// Weight of the newest answer in the moving mean of service times.
+const NEWEST: f64 = 0.1;
+
+/// One target behind a gate.
+pub(super) struct Member {
+    pub(super) name: Arc<str>,
+    pub(super) entry: Arc<TargetEntry>,
+    pub(super) pool: Arc<Pool>,
+    pub(super) running: usize,
+    pub(super) health: Health,
+    /// Moving mean of service times in milliseconds.
+    pub(super) mean_ms: Option<f64>,
+    /// When it last got a request.
+    pub(super) used: Millis,
+}
+
+impl Member {
+    pub(super) fn new(name: Arc<str>, entry: Arc<TargetEntry>, connections: usize) -> Self {
+        Self {
+            pool: Arc::new(Pool::new(entry.address, connections)),
+            name,
+            entry,
+            running: 0,
+            health: Health::new(),
+            mean_ms: None,
+            used: 0,
+        }
+    }
+
+    /// Requests that it may run at once.
+    pub(super) fn slots(&self, now: Millis) -> usize {
+        let slots = usize::try_from(self.entry.slots).unwrap_or(1).max(1);
+        self.health.slots(now, slots)
+    }
+
+    pub(super) fn on_end(&mut self, now: Millis, took_ms: u64, outcome: Option<Outcome>) {
+        self.running = self.running.saturating_sub(1);
+        let Some(outcome) = outcome else { return };
+        self.health.on_answer(now, outcome);
+        if outcome == Outcome::Answered {
+            #[expect(clippy::cast_precision_loss, reason = "far below 2^52 ms")]
+            let took = took_ms as f64;
+            let mean = self.mean_ms.unwrap_or(took);
+            self.mean_ms = Some(mean + (took - mean) * NEWEST);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/gateway/serve.rs
@@ -0,0 +1,70 @@
+//! The port for requests that other hosts forward.
+
+use std::{convert::Infallible, io, sync::Arc};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::{body::Incoming, server::conn::http2, service::service_fn};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{exchange, hop};
+use crate::{entry::ACCEPT_PAUSE, node::Node};
+
+/// Binds the port; resolves to the loop that serves it.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn bind(node: Arc<Node>) -> io::Result<impl Future<Output = ()>> {
+    let listener = TcpListener::bind(node.settings.forward).await?;
+    Ok(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => serve(&node, stream),
+                Err(err) => {
+                    log::warn!("a connection of a host cannot be accepted: {err}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    })
+}
+
+fn serve(node: &Arc<Node>, stream: TcpStream) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("TCP_NODELAY cannot be set: {err}");
+    }
+    let node = Arc::clone(node);
+    let service = service_fn(move |request| {
+        let node = Arc::clone(&node);
+        async move { Ok::<_, Infallible>(answer(&node, request).await) }
+    });
+    let connection = http2::Builder::new(TokioExecutor::new())
+        .timer(TokioTimer::new())
+        .max_concurrent_streams(4_096)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::spawn(async move {
+        if let Err(err) = connection.await {
+            log::debug!("a connection of a host ended: {err}");
+        }
+    });
+}
+
+async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let (parts, body) = request.into_parts();
+    let bad = |text: &'static str| {
+        let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+        *response.status_mut() = StatusCode::BAD_REQUEST;
+        response
+    };
+    let Ok(body) = body.collect().await else {
+        return bad("the body was cut\n");
+    };
+    let request = Request::from_parts(parts, body.to_bytes());
+    match hop::task_of(request, node.clock.now()) {
+        Some(task) => hop::response_of(exchange::run(node, &task).await),
+        None => bad("this port is for requests of other hosts\n"),
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,6 +10,7 @@
 mod gateway;
 mod node;
 mod operators;
+mod peers;
 mod ports;
 mod run;
 mod settings;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -1,24 +1,27 @@
 //! What the tasks of one host share.
 //!
-//! **Lock order.** `targets`, `tables`, `gates`, then the lock of a gate. No lock is held across an
-//! await.
+//! **Lock order.** `targets`, `tables`, `feed`, `gates`, then the lock of a gate. No lock is held
+//! across an await.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard, RwLockWriteGuard,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
 
-use arc_swap::ArcSwapOption;
-use coordinator::SliceTable;
+use arc_swap::{ArcSwap, ArcSwapOption};
+use coordinator::{Millis, SliceTable};
 use process::BootClock;
 use routing::{Catalog, Picker};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
-    gateway::Gate,
+    entry::{Budgets, Suspects},
+    gateway::{Forwarder, Gates},
+    peers::{Event, Feed, HostInfo, Hosts, News, Position, Report},
     ports::{Dialect, Store, TargetApi},
     run::Ports,
     settings::Settings,
@@ -32,6 +35,8 @@
 pub struct Node {
     /// The settings.
     pub settings: Settings,
+    /// What this host tells others about itself.
+    pub info: HostInfo,
     /// The clock for leases and deadlines.
     pub clock: BootClock,
     /// Headers and statuses.
@@ -42,34 +47,73 @@
     pub target_api: Arc<dyn TargetApi>,
     /// The configuration in force; none until one is known.
     pub catalog: ArcSwapOption<Catalog>,
-    /// Notified when targets or slices change.
+    /// The hosts that serve.
+    pub hosts: ArcSwap<Hosts>,
+    /// Gates of the targets whose gateway this host is.
+    pub gates: Gates,
+    /// Connections to other gateways.
+    pub forwarder: Forwarder,
+    /// Budgets of repeated requests.
+    pub budgets: Budgets,
+    /// Hosts that did not answer lately.
+    pub suspects: Suspects,
+    /// Notified when targets, slices or hosts change.
     pub changed: Notify,
+    /// Notified when there is news for other hosts.
+    pub fed: Notify,
+    /// Notified when a report should not wait.
+    pub report_soon: Notify,
     /// Turns true when the host is asked to stop.
     pub stopping: watch::Sender<bool>,
     targets: RwLock<Targets>,
     tables: RwLock<Tables>,
-    gates: Mutex<HashMap<Arc<str>, Arc<Gate>>>,
+    feed: Mutex<Feed>,
     pickers: Mutex<HashMap<Arc<str>, Picker>>,
+    poison: Mutex<BTreeSet<u64>>,
+    coordinator: Mutex<Option<SocketAddr>>,
+    inbox: Mutex<Option<mpsc::UnboundedSender<Report>>>,
     synced: AtomicBool,
+    in_step: AtomicU64,
 }
 
 impl Node {
     /// Creates the state of a host that knows nothing yet.
     pub fn new(settings: Settings, ports: Ports) -> Self {
+        let info = HostInfo {
+            name: Arc::clone(&settings.host),
+            place: Arc::clone(&settings.place),
+            peer: settings.peer,
+            forward: settings.forward,
+            power: settings.power(),
+            incarnation: rand::random(),
+        };
+        let clock = BootClock::new();
         Self {
-            settings,
-            clock: BootClock::new(),
+            hosts: ArcSwap::from_pointee(Hosts::new([info.clone()])),
+            info,
+            clock,
             dialect: ports.dialect,
             store: ports.store,
             target_api: ports.target_api,
             catalog: ArcSwapOption::empty(),
+            gates: Gates::new(clock),
+            forwarder: Forwarder::new(),
+            budgets: Budgets::new(settings.bounds.retry_ratio),
+            suspects: Suspects::default(),
             changed: Notify::new(),
+            fed: Notify::new(),
+            report_soon: Notify::new(),
             stopping: watch::Sender::new(false),
             targets: RwLock::default(),
             tables: RwLock::default(),
-            gates: Mutex::default(),
+            feed: Mutex::default(),
             pickers: Mutex::default(),
+            poison: Mutex::default(),
+            coordinator: Mutex::default(),
+            inbox: Mutex::default(),
             synced: AtomicBool::new(false),
+            in_step: AtomicU64::new(0),
+            settings,
         }
     }
 
@@ -78,24 +122,14 @@
         self.targets.read().expect("no holder of the lock panics")
     }
 
-    /// The targets, for changes.
-    pub fn targets_mut(&self) -> RwLockWriteGuard<'_, Targets> {
-        self.targets.write().expect("no holder of the lock panics")
-    }
-
     /// The slices, for reading.
     pub fn tables(&self) -> RwLockReadGuard<'_, Tables> {
         self.tables.read().expect("no holder of the lock panics")
     }
 
-    /// The slices, for changes.
-    pub fn tables_mut(&self) -> RwLockWriteGuard<'_, Tables> {
-        self.tables.write().expect("no holder of the lock panics")
-    }
-
-    /// The gates of targets by name.
-    pub fn gates(&self) -> MutexGuard<'_, HashMap<Arc<str>, Arc<Gate>>> {
-        self.gates.lock().expect("no holder of the lock panics")
+    /// The news for other hosts.
+    pub fn feed(&self) -> MutexGuard<'_, Feed> {
+        self.feed.lock().expect("no holder of the lock panics")
     }
 
     /// The pickers of routes by name.
@@ -103,8 +137,106 @@
         self.pickers.lock().expect("no holder of the lock panics")
     }
 
-    /// Notes that this host's knowledge is complete.
-    pub fn set_synced(&self) {
+    /// Whether requests with this fingerprint crash targets.
+    pub fn is_poison(&self, fingerprint: u64) -> bool {
+        let poison = self.poison.lock().expect("no holder of the lock panics");
+        poison.contains(&fingerprint)
+    }
+
+    /// Where the coordinator is, as far as this host knows.
+    pub fn coordinator(&self) -> Option<SocketAddr> {
+        *self
+            .coordinator
+            .lock()
+            .expect("no holder of the lock panics")
+    }
+
+    /// Notes where the coordinator is.
+    pub fn set_coordinator(&self, address: Option<SocketAddr>) {
+        let mut known = self
+            .coordinator
+            .lock()
+            .expect("no holder of the lock panics");
+        *known = address;
+    }
+
+    /// Makes this host the one that takes reports, or ends that.
+    pub fn set_inbox(&self, inbox: Option<mpsc::UnboundedSender<Report>>) {
+        *self.inbox.lock().expect("no holder of the lock panics") = inbox;
+    }
+
+    /// Passes a report on to the coordinator's task, if this host coordinates.
+    pub fn take_report(&self, report: Report) {
+        let inbox = self.inbox.lock().expect("no holder of the lock panics");
+        if let Some(inbox) = &*inbox {
+            // The tenure may be ending.
+            let _ = inbox.send(report);
+        }
+    }
+
+    /// Learns of events and passes them on to other hosts.
+    pub fn announce(&self, events: Vec<Event>) {
+        let mut news = false;
+        for event in events {
+            if !self.learn(&event) {
+                continue;
+            }
+            self.feed().push(event);
+            news = true;
+        }
+        if news {
+            self.changed.notify_waiters();
+            self.fed.notify_waiters();
+        }
+    }
+
+    /// Learns of events from another host and passes on what that host would.
+    pub fn follow(&self, news: News) {
+        let mut changed = false;
+        for event in &news.events {
+            changed |= self.learn(event);
+        }
+        {
+            let mut feed = self.feed();
+            if news.complete || feed.position().term != news.position.term {
+                feed.restart(news.position);
+            } else {
+                for event in news.events {
+                    feed.push(event);
+                }
+            }
+        }
+        if changed {
+            self.changed.notify_waiters();
+        }
+        self.fed.notify_waiters();
+    }
+
+    /// What a host does not know that knows everything up to `known`.
+    pub fn news(&self, known: Position) -> News {
+        let (position, events) = {
+            let feed = self.feed();
+            (feed.position(), feed.after(known))
+        };
+        let complete = events.is_none();
+        News {
+            coordinator: self.coordinator(),
+            position,
+            complete,
+            events: events.unwrap_or_else(|| self.everything()),
+            age_ms: self.age_ms(),
+        }
+    }
+
+    /// Milliseconds since this host's knowledge was in step with the store.
+    pub fn age_ms(&self) -> u64 {
+        let now = self.clock.now();
+        now.saturating_sub(self.in_step.load(Ordering::Relaxed))
+    }
+
+    /// Notes that this host's knowledge was in step with the store at `at`.
+    pub fn set_in_step(&self, at: Millis) {
+        self.in_step.fetch_max(at, Ordering::Relaxed);
         self.synced.store(true, Ordering::Relaxed);
     }
 
@@ -114,4 +246,69 @@
             && self.catalog.load().is_some()
             && !*self.stopping.borrow()
     }
+
+    /// Forgets targets that have been gone for a long time.
+    pub fn forget_targets(&self, before: Millis) {
+        self.targets_mut().forget(before);
+    }
+
+    /// Everything that this host knows.
+    fn everything(&self) -> Vec<Event> {
+        let mut events = Vec::new();
+        if let Some(catalog) = self.catalog.load_full() {
+            events.push(Event::Catalog(catalog));
+        }
+        for (name, rev, entry) in self.targets().revisions() {
+            events.push(Event::Target(name, rev, entry));
+        }
+        for (service, table) in &*self.tables() {
+            for slice in table.iter() {
+                events.push(Event::Slice(Arc::clone(service), slice.clone()));
+            }
+        }
+        events.push(Event::Hosts(self.hosts.load().iter().cloned().collect()));
+        let poison = self.poison.lock().expect("no holder of the lock panics");
+        events.extend(poison.iter().map(|it| Event::Poison(*it)));
+        events
+    }
+
+    /// Learns of one event; returns whether it was news.
+    fn learn(&self, event: &Event) -> bool {
+        match event {
+            Event::Catalog(catalog) => {
+                let known = self.catalog.load().as_ref().map(|it| it.version());
+                if known.is_some_and(|it| it >= catalog.version()) {
+                    return false;
+                }
+                log::info!(version = catalog.version(); "a configuration is in force");
+                self.catalog.store(Some(Arc::clone(catalog)));
+                true
+            }
+            Event::Target(name, rev, entry) => {
+                let now = self.clock.now();
+                self.targets_mut().apply(name, *rev, entry.clone(), now)
+            }
+            Event::Slice(service, slice) => {
+                let mut tables = self.tables.write().expect("no holder of the lock panics");
+                let table = tables.entry(Arc::clone(service)).or_default();
+                table.merge(slice)
+            }
+            Event::Hosts(list) => {
+                let hosts = Hosts::new(list.iter().cloned());
+                if **self.hosts.load() == hosts {
+                    return false;
+                }
+                self.hosts.store(Arc::new(hosts));
+                true
+            }
+            Event::Poison(fingerprint) => {
+                let mut poison = self.poison.lock().expect("no holder of the lock panics");
+                poison.insert(*fingerprint)
+            }
+        }
+    }
+
+    fn targets_mut(&self) -> RwLockWriteGuard<'_, Targets> {
+        self.targets.write().expect("no holder of the lock panics")
+    }
 }
--- /dev/null
+++ b/crates/router/src/peers/coordination.rs
@@ -0,0 +1,84 @@
+//! The service that each host offers to the others.
+
+#![allow(missing_docs, reason = "tarpc generates items without doc comments")]
+
+use std::{net::SocketAddr, sync::Arc};
+
+use coordinator::Key;
+use serde::{Deserialize, Serialize};
+
+use super::{Event, HostInfo, Position};
+
+/// Requests for one key.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KeyCount {
+    /// The key.
+    pub key: Key,
+    /// Requests that arrived.
+    pub count: u32,
+}
+
+/// What the answered requests of one route cost a target.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RouteCost {
+    /// The route.
+    pub route: Arc<str>,
+    /// Answered requests.
+    pub count: u32,
+    /// Milliseconds for which they occupied slots, in total.
+    pub busy_ms: u32,
+}
+
+/// What a gateway saw of one target since its last report.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TargetLoad {
+    /// The target.
+    pub target: Arc<str>,
+    /// Requests that arrived, by key.
+    pub keys: Vec<KeyCount>,
+    /// What requests cost, by route.
+    pub costs: Vec<RouteCost>,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// What a host reports.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Report {
+    /// The host.
+    pub host: HostInfo,
+    /// Whether it takes requests of other hosts.
+    pub serves: bool,
+    /// What it knows already.
+    pub known: Position,
+    /// Milliseconds since its last report.
+    pub span_ms: u32,
+    /// Load of the targets whose gateway it is.
+    pub loads: Vec<TargetLoad>,
+    /// Fingerprints of requests that it saw crash targets.
+    pub poison: Vec<u64>,
+    /// Longest time in milliseconds to wait for news.
+    pub wait_ms: u32,
+}
+
+/// What a host answers to a report.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct News {
+    /// Where the coordinator is, as far as the host knows.
+    pub coordinator: Option<SocketAddr>,
+    /// The position after the events.
+    pub position: Position,
+    /// Whether the events are all that there is to know.
+    pub complete: bool,
+    /// The events.
+    pub events: Vec<Event>,
+    /// Milliseconds since the configuration and the targets were in step with the store.
+    pub age_ms: u64,
+}
+
+/// Messages between hosts.
+#[tarpc::service]
+pub trait Coordination {
+    /// Reports to the host and waits for news.
+    async fn sync(report: Report) -> News;
+}
--- /dev/null
+++ b/crates/router/src/peers/hosts.rs
@@ -0,0 +1,72 @@
+//! The hosts that serve.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// What a host tells about itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HostInfo {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Its data centre.
+    pub place: Arc<str>,
+    /// Where it takes control messages.
+    pub peer: SocketAddr,
+    /// Where it takes forwarded requests.
+    pub forward: SocketAddr,
+    /// Its share of a core in thousandths.
+    pub power: u32,
+    /// Identifies this run of the process.
+    pub incarnation: u64,
+}
+
+/// The hosts that are known to serve, by name.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Hosts {
+    list: BTreeMap<Arc<str>, HostInfo>,
+}
+
+impl Hosts {
+    /// Creates a list.
+    #[must_use]
+    pub fn new(hosts: impl IntoIterator<Item = HostInfo>) -> Self {
+        let list = hosts.into_iter().map(|it| (Arc::clone(&it.name), it));
+        Self {
+            list: list.collect(),
+        }
+    }
+
+    /// A host by name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&HostInfo> {
+        self.list.get(name)
+    }
+
+    /// All hosts in name order.
+    pub fn iter(&self) -> impl Iterator<Item = &HostInfo> {
+        self.list.values()
+    }
+
+    /// The hosts of `place` in the order in which they are to act for `name`: rendezvous hashing,
+    /// weighted by power, so that the loss of a host moves only what it acted for.
+    #[must_use]
+    pub fn ranked(&self, place: &str, name: &str) -> Vec<&HostInfo> {
+        let mut ranked: Vec<(f64, &HostInfo)> = Vec::new();
+        for host in self.list.values() {
+            if *host.place != *place {
+                continue;
+            }
+            let seed = xxh3_64_with_seed(host.name.as_bytes(), 0);
+            let hash = xxh3_64_with_seed(name.as_bytes(), seed);
+            // The 53 highest bits as a number in (0, 1).
+            #[expect(clippy::cast_precision_loss, reason = "53 bits fit")]
+            let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+            let score = f64::from(host.power) / -unit.ln();
+            ranked.push((score, host));
+        }
+        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
+        ranked.into_iter().map(|(_, host)| host).collect()
+    }
+}
--- /dev/null
+++ b/crates/router/src/peers/server.rs
@@ -0,0 +1,88 @@
+//! What this host answers to others.
+
+use std::{io, sync::Arc, time::Duration};
+
+use futures::StreamExt;
+use peer::Codec;
+use tarpc::{
+    context::Context,
+    serde_transport,
+    server::{BaseChannel, Channel},
+    tokio_util::codec::LengthDelimitedCodec,
+};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{Coordination, News, Report, client::MESSAGE_BYTES};
+use crate::{entry::ACCEPT_PAUSE, node::Node};
+
+/// Calls of one connection that are served at once.
+const CHANNEL_CALLS: usize = 4;
+
+/// Longest time for which a call waits for news.
+const LONGEST_WAIT: Duration = Duration::from_secs(2);
+
+#[derive(Clone)]
+struct Server {
+    node: Arc<Node>,
+}
+
+/// Binds the address for control messages; resolves to the loop that serves them.
+///
+/// # Errors
+///
+/// Fails if the address cannot be bound.
+pub async fn bind(node: Arc<Node>) -> io::Result<impl Future<Output = ()>> {
+    let listener = TcpListener::bind(node.settings.peer).await?;
+    Ok(async move {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => serve(&node, stream),
+                Err(err) => {
+                    log::warn!("a connection of a host cannot be accepted: {err}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    })
+}
+
+fn serve(node: &Arc<Node>, stream: TcpStream) {
+    if let Err(err) = stream.set_nodelay(true) {
+        log::debug!("TCP_NODELAY cannot be set: {err}");
+    }
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(MESSAGE_BYTES)
+        .new_framed(stream);
+    let server = Server {
+        node: Arc::clone(node),
+    };
+    let calls = BaseChannel::with_defaults(serde_transport::new(framed, Codec))
+        .max_concurrent_requests(CHANNEL_CALLS)
+        .execute(server.serve())
+        .for_each(|call| async move {
+            tokio::spawn(call);
+        });
+    tokio::spawn(calls);
+}
+
+impl Coordination for Server {
+    async fn sync(self, _: Context, report: Report) -> News {
+        let node = self.node;
+        let known = report.known;
+        let wait = Duration::from_millis(report.wait_ms.into()).min(LONGEST_WAIT);
+        node.take_report(report);
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = node.fed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if node.feed().position() != known {
+                break;
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                break;
+            }
+        }
+        node.news(known)
+    }
+}
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -12,9 +12,9 @@
 };
 
 use crate::{
-    control, entry,
+    control, entry, gateway,
     node::Node,
-    operators,
+    operators, peers,
     ports::{Dialect, Store, TargetApi},
     settings::Settings,
 };
@@ -40,22 +40,25 @@
 pub async fn run(settings: Settings, ports: Ports) -> ExitCode {
     let node = Arc::new(Node::new(settings, ports));
     let settings = &node.settings;
-    let callers = TcpListener::bind(settings.callers).await;
-    let operators = TcpListener::bind(settings.operators).await;
-    let (callers, operators) = match (callers, operators) {
-        (Ok(callers), Ok(operators)) => (callers, operators),
-        (callers, operators) => {
-            for err in [callers.err(), operators.err()].into_iter().flatten() {
-                log::error!("an address cannot be bound: {err}");
-            }
+    let ports = tokio::try_join!(
+        TcpListener::bind(settings.callers),
+        TcpListener::bind(settings.operators),
+        peers::bind(Arc::clone(&node)),
+        gateway::bind(Arc::clone(&node)),
+    );
+    let (callers, operators, peers, forwarded) = match ports {
+        Ok(ports) => ports,
+        Err(err) => {
+            log::error!("an address cannot be bound: {err}");
             return ExitCode::from(NOT_BOUND);
         }
     };
     log::info!(place = &*settings.place; "started");
     tokio::spawn(operators::run(Arc::clone(&node), operators));
-    tokio::spawn(control::watch_catalog(Arc::clone(&node)));
-    tokio::spawn(control::watch_targets(Arc::clone(&node)));
-    tokio::spawn(control::lead(Arc::clone(&node)));
+    tokio::spawn(peers);
+    tokio::spawn(forwarded);
+    tokio::spawn(control::follow(Arc::clone(&node)));
+    tokio::spawn(control::catch_up(Arc::clone(&node)));
     let stop = stop(Arc::clone(&node));
     entry::serve(Arc::clone(&node), callers, stop).await;
     log::info!("stopped");
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -26,6 +26,8 @@
     pub peer: SocketAddr,
     /// Address for requests that other hosts forward.
     pub forward: SocketAddr,
+    /// Its share of a core.
+    pub cores: f64,
     /// The platform's store.
     pub store: StoreSettings,
     /// Bounds that the platform states.
@@ -102,6 +104,17 @@
         }
     }
 
+    /// The host's share of a core in thousandths, at least 1.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the range is checked"
+    )]
+    pub fn power(&self) -> u32 {
+        (self.cores.clamp(0.001, 1_000.0) * 1_000.0) as u32
+    }
+
     /// The region of a data centre; a place that is not known is a region of its own.
     #[must_use]
     pub fn region<'a>(&'a self, place: &'a Arc<str>) -> &'a Arc<str> {
@@ -128,6 +141,9 @@
                 return Some((fields, "must name different ports other than 0"));
             }
         }
+        if !(0.001..=1_000.0).contains(&self.cores) {
+            return Some(("cores", "must be between 0.001 and 1000"));
+        }
         let times = [
             ("bounds.max_hold_s", self.bounds.hold),
             ("bounds.drain_s", self.bounds.drain),
--- a/crates/router/src/settings/tests.rs
+++ b/crates/router/src/settings/tests.rs
@@ -9,6 +9,7 @@
 metrics: 127.0.0.1:9464
 peer: 127.0.0.1:7660
 forward: 127.0.0.1:7661
+cores: 0.2
 store: {address: "127.0.0.1:8142", anything: 1}
 bounds: {max_hold_s: 10, drain_s: 2, grace_s: 6, retry_ratio: 0.2, retry_slack: 60, retry_window_s: 10}
 "#;
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -15,6 +15,7 @@
 pub struct Targets {
     known: BTreeMap<Arc<str>, Known>,
     gone: HashMap<Arc<str>, u64>,
+    version: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -44,16 +45,25 @@
                 return false;
             };
             known.rev = rev;
-            return known.left.replace(now).is_none();
+            let left = known.left.replace(now).is_none();
+            self.version += u64::from(left);
+            return left;
         };
         self.gone.remove(name);
         let entry = Arc::new(entry);
         let left = None;
         let known = Known { rev, entry, left };
         self.known.insert(Arc::clone(name), known);
+        self.version += 1;
         true
     }
 
+    /// A number that rises with each change.
+    #[must_use]
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// The targets that are registered.
     pub fn registered(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<TargetEntry>)> {
         let known = self.known.iter().filter(|(_, it)| it.left.is_none());
@@ -84,6 +94,22 @@
         missing
     }
 
+    /// All that is known, with revisions; targets that are gone without their entry.
+    #[must_use]
+    pub fn revisions(&self) -> Vec<(Arc<str>, u64, Option<TargetEntry>)> {
+        let mut all = Vec::new();
+        for (name, known) in &self.known {
+            let entry = known.left.is_none().then(|| (*known.entry).clone());
+            all.push((Arc::clone(name), known.rev, entry));
+        }
+        for (name, rev) in &self.gone {
+            if !self.known.contains_key(name) {
+                all.push((Arc::clone(name), *rev, None));
+            }
+        }
+        all
+    }
+
     /// Forgets targets that left before `before`.
     pub fn forget(&mut self, before: Millis) {
         self.known
