Run pipelined requests at the same time, and read closed connections to their end

The last answer is now followed by a shutdown of the sending side, and what still arrives is read. Requests behind another one run ahead of their turn, and a caller that goes away is noticed at once. SIGHUP no longer ends the process.

--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -1,7 +1,9 @@
 //! The way of a request from its caller to a gateway and back.
 
+mod ahead;
 mod answer;
 mod budgets;
+mod connection;
 mod deliver;
 mod request;
 mod server;
--- /dev/null
+++ b/crates/router/src/entry/ahead.rs
@@ -0,0 +1,301 @@
+//! A caller's connection whose bytes are looked at before they are due.
+//!
+//! Callers may send further requests before the first one has been answered. HTTP/1.1 answers them
+//! in turn, but nothing keeps them from running at the same time, so the heads of later requests
+//! are found while an earlier one is being answered. Reading on also shows at once that the caller
+//! has closed the connection.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex, MutexGuard},
+    task::{Context, Poll},
+};
+
+use bytes::{Buf, BytesMut};
+use http::{HeaderName, HeaderValue, Method, Request, Uri, header, request::Parts};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
+    net::TcpStream,
+};
+
+/// Bytes that are read ahead of their turn.
+const AHEAD_BYTES: usize = 64 * 1024;
+
+/// Bytes that are read at a time.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Headers of a request that is looked at; one with more is left to its turn.
+const HEADERS: usize = 64;
+
+/// A caller's connection.
+#[derive(Clone)]
+pub(super) struct Ahead {
+    stream: Arc<TcpStream>,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    /// Bytes that were read and are not yet due.
+    buffer: BytesMut,
+    scan: Scan,
+    /// Heads of requests without a body, with their numbers.
+    heads: Vec<(u64, Parts)>,
+    ended: bool,
+}
+
+/// How far the requests on the connection have been told apart.
+struct Scan {
+    /// Bytes since the end of the last request.
+    open: BytesMut,
+    /// Bytes of a body that are still to come.
+    body: u64,
+    /// Requests whose head is complete.
+    number: u64,
+    /// Requests are not told apart any more.
+    lost: bool,
+}
+
+impl Ahead {
+    pub(super) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream: Arc::new(stream),
+            state: Arc::new(Mutex::new(State {
+                buffer: BytesMut::new(),
+                scan: Scan {
+                    open: BytesMut::new(),
+                    body: 0,
+                    number: 0,
+                    lost: false,
+                },
+                heads: Vec::new(),
+                ended: false,
+            })),
+        }
+    }
+
+    /// Reads on while there is room. Resolves when the caller has closed the connection.
+    pub(super) fn poll_ahead(&self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if self.state().buffer.len() >= AHEAD_BYTES {
+                return Poll::Pending;
+            }
+            match self.poll_more(cx) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(Ok(0) | Err(_)) => return Poll::Ready(()),
+                Poll::Ready(Ok(_)) => {}
+            }
+        }
+    }
+
+    /// The heads that were found since the last call, with the number of the request on the
+    /// connection, from 0.
+    pub(super) fn take_heads(&self) -> Vec<(u64, Parts)> {
+        std::mem::take(&mut self.state().heads)
+    }
+
+    /// Ends the answers, and reads what the caller still sends until it closes the connection too.
+    /// Without this, bytes that arrive after the close reset the connection, and the caller loses
+    /// the last answer.
+    pub(super) async fn linger(mut self) {
+        if std::future::poll_fn(|cx| Pin::new(&mut self).poll_shutdown(cx))
+            .await
+            .is_err()
+        {
+            return;
+        }
+        let mut rest = vec![0; READ_BYTES];
+        loop {
+            if self.stream.readable().await.is_err() {
+                return;
+            }
+            match self.stream.try_read(&mut rest) {
+                Ok(0) => return,
+                Err(err) if err.kind() != io::ErrorKind::WouldBlock => return,
+                Ok(_) | Err(_) => {}
+            }
+        }
+    }
+
+    /// Reads from the socket into the buffer.
+    fn poll_more(&self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        loop {
+            if self.state().ended {
+                return Poll::Ready(Ok(0));
+            }
+            std::task::ready!(self.stream.poll_read_ready(cx))?;
+            let mut state = self.state();
+            let mut bytes = [0; READ_BYTES];
+            match self.stream.try_read(&mut bytes) {
+                Ok(count) => {
+                    state.ended = count == 0;
+                    state.buffer.extend_from_slice(&bytes[..count]);
+                    let heads = state.scan.feed(&bytes[..count]);
+                    state.heads.extend(heads);
+                    return Poll::Ready(Ok(count));
+                }
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                Err(err) => return Poll::Ready(Err(err)),
+            }
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl AsyncRead for Ahead {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        out: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.state().buffer.is_empty() {
+            std::task::ready!(self.poll_more(cx))?;
+        }
+        let mut state = self.state();
+        let count = state.buffer.len().min(out.remaining());
+        out.put_slice(&state.buffer[..count]);
+        state.buffer.advance(count);
+        if state.buffer.is_empty() {
+            state.buffer = BytesMut::new();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Ahead {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[io::IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            std::task::ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(parts) {
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => {}
+                done => return Poll::Ready(done),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let shutdown = || rustix::net::shutdown(&*self.stream, rustix::net::Shutdown::Write);
+        let done = self.stream.try_io(Interest::WRITABLE, || Ok(shutdown()?));
+        match done {
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => Poll::Ready(Ok(())),
+            done => Poll::Ready(done),
+        }
+    }
+}
+
+impl Scan {
+    /// Takes bytes in the order in which they arrived, and returns the heads of requests without a
+    /// body that they complete.
+    fn feed(&mut self, bytes: &[u8]) -> Vec<(u64, Parts)> {
+        let mut heads = Vec::new();
+        if self.lost {
+            return heads;
+        }
+        self.open.extend_from_slice(bytes);
+        loop {
+            let skipped = usize::try_from(self.body)
+                .unwrap_or(usize::MAX)
+                .min(self.open.len());
+            self.open.advance(skipped);
+            self.body -= skipped as u64;
+            if self.open.is_empty() {
+                self.open = BytesMut::new();
+                return heads;
+            }
+            match parse(&self.open) {
+                Head::Partial => return heads,
+                Head::Unknown => {
+                    self.lost = true;
+                    self.open = BytesMut::new();
+                    return heads;
+                }
+                Head::Complete { bytes, body, parts } => {
+                    self.open.advance(bytes);
+                    self.body = body;
+                    if body == 0 {
+                        heads.push((self.number, *parts));
+                    }
+                    self.number += 1;
+                }
+            }
+        }
+    }
+}
+
+/// The beginning of some bytes, read as the head of a request.
+enum Head {
+    Partial,
+    /// It is none, or the length of its body is not stated.
+    Unknown,
+    Complete {
+        bytes: usize,
+        body: u64,
+        parts: Box<Parts>,
+    },
+}
+
+fn parse(bytes: &[u8]) -> Head {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let bytes = match head.parse(bytes) {
+        Ok(httparse::Status::Complete(bytes)) => bytes,
+        Ok(httparse::Status::Partial) => return Head::Partial,
+        Err(_) => return Head::Unknown,
+    };
+    match parts_of(&head) {
+        Some((parts, body)) => Head::Complete {
+            bytes,
+            body,
+            parts: Box::new(parts),
+        },
+        None => Head::Unknown,
+    }
+}
+
+fn parts_of(head: &httparse::Request<'_, '_>) -> Option<(Parts, u64)> {
+    let (mut parts, ()) = Request::new(()).into_parts();
+    parts.method = Method::from_bytes(head.method?.as_bytes()).ok()?;
+    parts.uri = head.path?.parse::<Uri>().ok()?;
+    for it in &*head.headers {
+        let name = HeaderName::from_bytes(it.name.as_bytes()).ok()?;
+        parts
+            .headers
+            .append(name, HeaderValue::from_bytes(it.value).ok()?);
+    }
+    let framed = [header::TRANSFER_ENCODING, header::UPGRADE, header::EXPECT];
+    if framed.iter().any(|it| parts.headers.contains_key(it)) {
+        return None;
+    }
+    let mut lengths = parts.headers.get_all(header::CONTENT_LENGTH).iter();
+    let body = match lengths.next() {
+        None => 0,
+        Some(length) => length.to_str().ok()?.trim().parse().ok()?,
+    };
+    lengths.next().is_none().then_some((parts, body))
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use coordinator::{Key, Millis};
-use http::{HeaderMap, Request, header, uri::PathAndQuery};
+use http::{HeaderMap, header, request::Parts, uri::PathAndQuery};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use refusal::Reason;
@@ -39,14 +39,19 @@
     pub arrived: Millis,
     /// The task; its gate is chosen later.
     pub task: Task,
+    /// Longest body that is accepted.
+    body_limit: usize,
 }
 
 impl Call {
-    /// Reads and checks a request.
-    pub async fn read(node: &Node, request: Request<Incoming>) -> Result<Self, Reason> {
+    /// Checks the head of a request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the request cannot be served in any way.
+    pub fn new(node: &Node, parts: Parts) -> Result<Self, Reason> {
         let arrived = node.clock.now();
         let catalog = node.catalog.load_full().ok_or(Reason::NotReady)?;
-        let (parts, body) = request.into_parts();
         let host = parts.headers.get(header::HOST);
         let host = host.and_then(|it| it.to_str().ok()).unwrap_or_default();
         let route = catalog
@@ -71,8 +76,6 @@
                 arrived + ms.ok_or(Reason::DeadlineInvalid)?
             }
         };
-        let limit = Duration::from_millis(deadline.saturating_sub(arrived));
-        let body = read_body(body, catalog.limits().body_bytes.min(BODY_BYTES), limit).await?;
         let path = parts.uri.into_parts().path_and_query;
         let task = Task {
             gate: GateId::Target(Arc::from("")),
@@ -87,14 +90,26 @@
             method: parts.method,
             path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
             headers: end_to_end(parts.headers),
-            body,
+            body: Bytes::new(),
         };
         Ok(Self {
             route: Arc::clone(route),
             arrived,
+            body_limit: catalog.limits().body_bytes.min(BODY_BYTES),
             task,
         })
     }
+
+    /// Reads the body of the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is too long or does not arrive.
+    pub async fn with_body(mut self, body: Incoming) -> Result<Self, Reason> {
+        let limit = Duration::from_millis(self.task.deadline.saturating_sub(self.arrived));
+        self.task.body = read_body(body, self.body_limit, limit).await?;
+        Ok(self)
+    }
 }
 
 async fn read_body(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Reason> {
--- a/crates/router/src/gateway/gate.rs
+++ b/crates/router/src/gateway/gate.rs
@@ -131,6 +131,12 @@
         }
     }
 
+    /// Whether a request waits or runs.
+    pub(super) fn is_busy(&self) -> bool {
+        let inner = self.lock();
+        inner.queue.running() + inner.queue.waiting() > 0
+    }
+
     /// What the gate saw of its target since the last call.
     pub(super) fn take_load(&self, target: &Arc<str>) -> Option<TargetLoad> {
         let mut inner = self.lock();
--- a/crates/router/src/gateway/gates.rs
+++ b/crates/router/src/gateway/gates.rs
@@ -6,6 +6,7 @@
         Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use process::BootClock;
@@ -13,6 +14,9 @@
 use super::{GateId, gate::Gate};
 use crate::peers::TargetLoad;
 
+/// Interval at which a stopping host looks whether requests still run.
+const IDLE_CHECK: Duration = Duration::from_millis(20);
+
 /// The gates of the targets whose gateway this host is.
 pub struct Gates {
     clock: BootClock,
@@ -53,6 +57,13 @@
         (u32::try_from(span).unwrap_or(u32::MAX), loads)
     }
 
+    /// Resolves when no gate has a request that waits or runs.
+    pub async fn idle(&self) {
+        while self.map().values().any(|it| it.is_busy()) {
+            tokio::time::sleep(IDLE_CHECK).await;
+        }
+    }
+
     fn map(&self) -> MutexGuard<'_, HashMap<GateId, Arc<Gate>>> {
         self.map.lock().expect("no holder of the lock panics")
     }
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -1,6 +1,7 @@
 //! Start and stop of the router on one host.
 
 use std::{
+    path::PathBuf,
     process::ExitCode,
     sync::Arc,
     time::{Duration, Instant},
@@ -26,6 +27,10 @@
 /// asks each second and takes a host out after two misses.
 const NOTICE: Duration = Duration::from_millis(2_500);
 
+/// Part of the time between the request to stop and the end of the process in which requests may
+/// still end, in percent.
+const GRACE_PERCENT: u32 = 95;
+
 /// The platform as the router meets it.
 pub struct Ports {
     /// The store.
@@ -54,17 +59,44 @@
         }
     };
     log::info!(place = &*settings.place; "started");
+    tokio::spawn(reload(settings.file.clone()));
     tokio::spawn(operators::run(Arc::clone(&node), operators));
     tokio::spawn(peers);
     tokio::spawn(forwarded);
     tokio::spawn(control::follow(Arc::clone(&node)));
     tokio::spawn(control::catch_up(Arc::clone(&node)));
     let stop = stop(Arc::clone(&node));
-    entry::serve(Arc::clone(&node), callers, stop).await;
+    let limit = Duration::from_secs_f64(node.settings.bounds.grace) * GRACE_PERCENT / 100;
+    let limit = limit.saturating_sub(NOTICE);
+    entry::serve(Arc::clone(&node), callers, stop, limit).await;
+    if tokio::time::timeout(limit, node.gates.idle()).await.is_err() {
+        log::warn!("forwarded requests did not end in time");
+    }
     log::info!("stopped");
     ExitCode::SUCCESS
 }
 
+/// Checks the settings anew when SIGHUP says that they changed. A running host keeps the settings
+/// that it was started with; those that a deployment changes while it runs, such as other hosts, it
+/// learns from the store.
+async fn reload(file: PathBuf) {
+    let mut hangup = signal(SignalKind::hangup()).expect("the process can listen for SIGHUP");
+    while hangup.recv().await.is_some() {
+        let name = file.display().to_string();
+        let text = match std::fs::read_to_string(&file) {
+            Ok(text) => text,
+            Err(err) => {
+                log::error!(file = name.as_str(); "the settings cannot be read: {err}");
+                continue;
+            }
+        };
+        match Settings::parse(&name, &text) {
+            Ok(_) => log::info!(file = name.as_str(); "the settings were read again"),
+            Err(err) => log::error!("the settings cannot be used: {err}"),
+        }
+    }
+}
+
 /// Resolves when the host was asked to stop and the balancer had time to notice.
 async fn stop(node: Arc<Node>) {
     let mut term = signal(SignalKind::terminate()).expect("the process can listen for SIGTERM");
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of one host, read from a YAML file.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf, sync::Arc};
 
 use displaydoc::Display;
 use serde::Deserialize;
@@ -10,6 +10,9 @@
 /// platform can add some.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
+    /// The file that the settings were read from.
+    #[serde(skip)]
+    pub file: PathBuf,
     /// Name of the host.
     pub host: Arc<str>,
     /// Its data centre.
@@ -90,10 +93,12 @@
     ///
     /// Fails if the text is not YAML of this type or breaks a rule.
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let it: Self = serde_yaml_ng::from_str(text).map_err(|err| SettingsError::Format {
-            file: file.to_owned(),
-            text: err.to_string(),
-        })?;
+        let mut it: Self =
+            serde_yaml_ng::from_str(text).map_err(|err| SettingsError::Format {
+                file: file.to_owned(),
+                text: err.to_string(),
+            })?;
+        it.file = PathBuf::from(file);
         match it.broken() {
             None => Ok(it),
             Some((field, rule)) => Err(SettingsError::Rule {
