Flush each answer at once

Cause of the remaining LOST: with pipelined flushes, hyper keeps an answer back while bytes of the next request are buffered, also when the connection is about to be closed.

--- a/crates/router/src/entry/connection.rs
+++ b/crates/router/src/entry/connection.rs
@@ -77,7 +77,6 @@
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .pipeline_flush(true)
         .serve_connection(TokioIo::new(ahead.clone()), service);
     let mut close = pin!(async move {
         // The sender lives as long as the port.
@@ -93,7 +92,10 @@
             return Poll::Ready(ended.is_ok());
         }
         let gone = ahead.poll_ahead(cx).is_ready();
-        shared.begin_early(ahead.take_heads());
+        let heads = ahead.take_heads();
+        if !asked {
+            shared.begin_early(heads);
+        }
         if gone {
             // The caller has closed the connection, so nobody waits for the answers.
             return Poll::Ready(false);
