Hand the coordination over when the coordinator cannot reach the store

Cause: a former coordinator learned from its neighbours that it coordinates, so that they stayed with it and learned nothing; and nobody took the lease before it ended. A host now names only a coordinator that it is in touch with; a coordinator without the store resigns for a follower that reaches it. Failed writes are paced.

--- a/crates/router/src/control/catch_up.rs
+++ b/crates/router/src/control/catch_up.rs
@@ -6,11 +6,11 @@
 use crate::{node::Node, ports::Topic};
 
 /// Age of this host's knowledge from which it reads the store itself. The coordinator's own watch
-/// of the store is up to 1.5 s old when it is answered, and up to 2.2 s when it is lost.
-const STALE_MS: u64 = 2_500;
+/// of the store is up to 1 s old when it is answered.
+const STALE_MS: u64 = 1_500;
 
 /// Interval of the reads.
-const INTERVAL: Duration = Duration::from_secs(1);
+const INTERVAL: Duration = Duration::from_millis(500);
 
 /// Keeps this host's knowledge from growing old, for ever.
 pub async fn catch_up(node: Arc<Node>) {
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -41,14 +41,17 @@
 
 /// Follows the coordinator, or coordinates, for ever.
 pub async fn follow(node: Arc<Node>) {
+    // The last term whose coordinator is known to act no more.
+    let mut resigned = None;
     loop {
         if let Some(address) = node.coordinator()
             && address != node.settings.peer
         {
-            stay(&node, address).await;
+            log::info!(coordinator:% = address; "following the coordinator");
+            resigned = resigned.max(stay(&node, address).await);
         }
         node.set_coordinator(None);
-        match seek(&node).await {
+        match seek(&node, resigned).await {
             Some(Found::Lease(lease)) => coordinate(&node, lease).await,
             Some(Found::Coordinator(address)) => node.set_coordinator(Some(address)),
             None => {
@@ -64,14 +67,15 @@
     Lease(Lease),
 }
 
-/// Reads the lease, and takes it if it is free.
-async fn seek(node: &Arc<Node>) -> Option<Found> {
+/// Reads the lease, and takes it if it is free: if it has ended, or its holder is known to act no
+/// more because it said so or because it was an earlier run of this process.
+async fn seek(node: &Arc<Node>, resigned: Option<u64>) -> Option<Found> {
     let sight = Sight::read(node).await?;
-    if let Some(row) = sight.holder() {
-        if row.peer != node.settings.peer {
-            return Some(Found::Coordinator(row.peer));
-        }
-        // An earlier run of this process held it, and is gone.
+    if let Some(row) = sight.holder()
+        && row.peer != node.settings.peer
+        && resigned < Some(row.term)
+    {
+        return Some(Found::Coordinator(row.peer));
     }
     if *node.stopping.borrow() {
         return None;
@@ -84,8 +88,15 @@
 }
 
 async fn coordinate(node: &Arc<Node>, lease: Lease) {
-    let Ok(own) = node.store.own_rows().await else {
-        return;
+    let own = loop {
+        match node.store.own_rows().await {
+            Ok(own) => break own,
+            Err(err) if node.clock.now() >= lease.until => {
+                log::warn!("the lease ended before the owners of keys were read: {err}");
+                return;
+            }
+            Err(_) => tokio::time::sleep(PAUSE / 4).await,
+        }
     };
     log::info!(term = lease.row.term; "this host coordinates");
     let rows = slice_rows(&own);
@@ -119,9 +130,11 @@
     rows
 }
 
-/// Reports to the coordinator and learns from it until it is lost or is one no more.
-async fn stay(node: &Arc<Node>, address: SocketAddr) {
+/// Reports to the coordinator and learns from it until it is lost or is one no more. Returns the
+/// term in which it will not act any more, if it says so.
+async fn stay(node: &Arc<Node>, address: SocketAddr) -> Option<u64> {
     let mut failures = 0;
+    let mut store = None;
     while failures < FAILURES {
         let Ok(client) = peers::connect(address, CONNECT).await else {
             failures += 1;
@@ -129,34 +142,46 @@
             continue;
         };
         loop {
-            match exchange(node, &client).await {
+            match exchange(node, &client, store.take()).await {
                 None => {
                     failures += 1;
                     break;
                 }
                 Some(news) => {
                     failures = 0;
-                    let coordinator = news.coordinator;
+                    let (coordinator, resigned) = (news.coordinator, news.resigned);
+                    let needs_heir = news.needs_heir;
                     learn(node, news);
                     if coordinator != Some(address) {
-                        return;
+                        return resigned;
+                    }
+                    if needs_heir {
+                        store = Some(Sight::read(node).await.is_some());
+                        if store == Some(false) {
+                            tokio::time::sleep(PAUSE).await;
+                        }
                     }
                 }
             }
         }
     }
     log::warn!(coordinator:% = address; "the coordinator does not answer");
+    None
 }
 
 /// One report and its answer; urgent reports go out beside it.
-async fn exchange(node: &Arc<Node>, client: &CoordinationClient) -> Option<News> {
-    let call = call(node, client, WAIT);
+async fn exchange(
+    node: &Arc<Node>,
+    client: &CoordinationClient,
+    store: Option<bool>,
+) -> Option<News> {
+    let call = call(node, client, store, WAIT);
     tokio::pin!(call);
     loop {
         tokio::select! {
             news = &mut call => return news,
             () = node.report_soon.notified() => {
-                let news = self::call(node, client, Duration::ZERO).await?;
+                let news = self::call(node, client, None, Duration::ZERO).await?;
                 learn(node, news);
                 tokio::time::sleep(SOON).await;
             }
@@ -164,8 +189,13 @@
     }
 }
 
-async fn call(node: &Node, client: &CoordinationClient, wait: Duration) -> Option<News> {
-    let report = report(node, wait);
+async fn call(
+    node: &Node,
+    client: &CoordinationClient,
+    store: Option<bool>,
+    wait: Duration,
+) -> Option<News> {
+    let report = report(node, store, wait);
     let mut context = context::current();
     let limit = wait + ANSWER;
     context.deadline = std::time::Instant::now() + limit;
@@ -179,7 +209,7 @@
     }
 }
 
-fn report(node: &Node, wait: Duration) -> Report {
+fn report(node: &Node, store: Option<bool>, wait: Duration) -> Report {
     let (span_ms, loads) = loads::collect(node);
     Report {
         host: node.info.clone(),
@@ -188,6 +218,7 @@
         span_ms,
         loads,
         poison: Vec::new(),
+        store,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
     }
 }
@@ -208,7 +239,7 @@
         let Ok(client) = peers::connect(host.peer, CONNECT).await else {
             continue;
         };
-        let Some(news) = call(node, &client, Duration::ZERO).await else {
+        let Some(news) = call(node, &client, None, Duration::ZERO).await else {
             continue;
         };
         let coordinator = news.coordinator;
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -58,6 +58,12 @@
     node: Arc<Node>,
     lease: Lease,
     renew_at: Millis,
+    /// Writes are not repeated before this time.
+    write_at: Millis,
+    /// Writes in a row that failed.
+    failures: u32,
+    /// A host that can reach the store while this one cannot.
+    heir: bool,
     balance_at: Millis,
     rows: Vec<SliceRow>,
     charges: BTreeMap<Arc<str>, Charge>,
@@ -78,6 +84,9 @@
             node,
             lease,
             renew_at: now + RENEW_MS,
+            write_at: now,
+            failures: 0,
+            heir: false,
             balance_at: now,
             rows,
             charges: BTreeMap::new(),
@@ -108,8 +117,13 @@
             }
             self.plan(now);
             self.order(now);
+            if self.heir {
+                log::warn!("another host can reach the store; this one resigns");
+                break;
+            }
             let urgent = self.charges.values().any(|it| it.keeper.needs_commit());
-            if (urgent || now >= self.renew_at) && !self.commit().await {
+            let due = now >= self.write_at && (urgent || now >= self.renew_at);
+            if due && !self.commit().await {
                 break;
             }
             self.publish();
@@ -125,7 +139,9 @@
                 self.hear(Some(report));
             }
         }
+        self.node.resign(self.lease.row.term);
         self.node.set_inbox(None);
+        self.node.set_needs_heir(false);
         self.node.set_coordinator(None);
         self.node.fed.notify_waiters();
     }
@@ -163,6 +179,7 @@
         let Some(report) = report else { return };
         let now = self.node.clock.now();
         self.roster.hear(&report, now);
+        self.heir |= self.node.needs_heir() && report.store == Some(true);
         self.node
             .announce(report.poison.iter().map(|it| Event::Poison(*it)).collect());
         self.count(&report.loads, now);
--- a/crates/router/src/control/tenure/commit.rs
+++ b/crates/router/src/control/tenure/commit.rs
@@ -16,6 +16,9 @@
 /// Pause before a failed write is repeated.
 const REPEAT_MS: u64 = 100;
 
+/// Failed writes in a row after which a host is sought that can reach the store.
+const FAILURES: u32 = 2;
+
 /// The rows of one service in a transaction.
 struct Batch {
     service: Arc<str>,
@@ -80,6 +83,7 @@
         match self.node.store.commit(&transaction).await {
             Commit::Applied { rev, store_ms } => {
                 self.held(row, rev, sent);
+                self.node.set_needs_heir(false);
                 self.lease.clock = StoreClock {
                     sent,
                     received: self.node.clock.now(),
@@ -95,23 +99,34 @@
             Commit::Conflict(rows) => self.recognise(&rows, sent),
             Commit::NotApplied(err) => {
                 log::warn!("the lease is not renewed: {err}");
-                self.renew_at = sent + REPEAT_MS;
+                self.failed();
                 true
             }
             Commit::Unknown => {
                 log::warn!("it is not known whether the lease is renewed");
                 self.doubtful.push(nonce);
-                self.renew_at = sent;
+                self.failed();
                 true
             }
         }
     }
 
+    fn failed(&mut self) {
+        let now = self.node.clock.now();
+        self.renew_at = now;
+        self.write_at = now + REPEAT_MS;
+        self.failures += 1;
+        if self.failures >= FAILURES {
+            self.node.set_needs_heir(true);
+        }
+    }
+
     fn held(&mut self, row: LeaseRow, rev: u64, sent: u64) {
         self.lease.until = self.lease.clock.before(row.until);
         self.lease.rev = rev;
         self.lease.row = row;
         self.doubtful.clear();
+        self.failures = 0;
         self.renew_at = sent + RENEW_MS;
     }
 
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -15,7 +15,7 @@
 
 /// How long the store holds a watch without news. A watch on a connection that went silent is
 /// noticed after this time.
-const WAIT: Duration = Duration::from_millis(1_500);
+const WAIT: Duration = Duration::from_millis(1_000);
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(200);
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -73,6 +73,8 @@
     coordinator: Mutex<Option<SocketAddr>>,
     inbox: Mutex<Option<mpsc::UnboundedSender<Report>>>,
     synced: AtomicBool,
+    needs_heir: AtomicBool,
+    resigned: AtomicU64,
     in_step: AtomicU64,
 }
 
@@ -112,6 +114,8 @@
             coordinator: Mutex::default(),
             inbox: Mutex::default(),
             synced: AtomicBool::new(false),
+            needs_heir: AtomicBool::new(false),
+            resigned: AtomicU64::new(0),
             in_step: AtomicU64::new(0),
             settings,
         }
@@ -160,6 +164,29 @@
         *known = address;
     }
 
+    /// Whether this host coordinates.
+    pub fn is_coordinator(&self) -> bool {
+        let inbox = self.inbox.lock().expect("no holder of the lock panics");
+        inbox.is_some()
+    }
+
+    /// Whether this host coordinates but cannot reach the store.
+    pub fn needs_heir(&self) -> bool {
+        self.needs_heir.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether this host coordinates but cannot reach the store.
+    pub fn set_needs_heir(&self, needs: bool) {
+        if self.needs_heir.swap(needs, Ordering::Relaxed) != needs {
+            self.fed.notify_waiters();
+        }
+    }
+
+    /// Notes that this host will not act any more as the coordinator of `term`.
+    pub fn resign(&self, term: u64) {
+        self.resigned.store(term, Ordering::Relaxed);
+    }
+
     /// Makes this host the one that takes reports, or ends that.
     pub fn set_inbox(&self, inbox: Option<mpsc::UnboundedSender<Report>>) {
         *self.inbox.lock().expect("no holder of the lock panics") = inbox;
@@ -219,8 +246,17 @@
             (feed.position(), feed.after(known))
         };
         let complete = events.is_none();
+        let own = self.settings.peer;
+        let coordinator = if self.is_coordinator() {
+            Some(own)
+        } else {
+            // An old rumour may name this host.
+            self.coordinator().filter(|it| *it != own)
+        };
         News {
-            coordinator: self.coordinator(),
+            coordinator,
+            needs_heir: self.needs_heir(),
+            resigned: Some(self.resigned.load(Ordering::Relaxed)).filter(|it| *it > 0),
             position,
             complete,
             events: events.unwrap_or_else(|| self.everything()),
--- a/crates/router/src/peers/coordination.rs
+++ b/crates/router/src/peers/coordination.rs
@@ -57,6 +57,8 @@
     pub loads: Vec<TargetLoad>,
     /// Fingerprints of requests that it saw crash targets.
     pub poison: Vec<u64>,
+    /// Whether the host can reach the store; `None` if it has not tried lately.
+    pub store: Option<bool>,
     /// Longest time in milliseconds to wait for news.
     pub wait_ms: u32,
 }
@@ -66,6 +68,10 @@
 pub struct News {
     /// Where the coordinator is, as far as the host knows.
     pub coordinator: Option<SocketAddr>,
+    /// The coordinator cannot reach the store, and resigns for a host that can.
+    pub needs_heir: bool,
+    /// The term in which the host coordinated and will not act any more.
+    pub resigned: Option<u64>,
     /// The position after the events.
     pub position: Position,
     /// Whether the events are all that there is to know.
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -76,7 +76,8 @@
             let changed = node.fed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            if node.feed().position() != known {
+            let urgent = node.needs_heir() || !node.is_coordinator();
+            if urgent || node.feed().position() != known {
                 break;
             }
             if tokio::time::timeout_at(until, changed).await.is_err() {
