--- a/crates/coordinator/src/keeper.rs
+++ b/crates/coordinator/src/keeper.rs
@@ -208,6 +208,7 @@
             GrantEnd::NotSent | GrantEnd::NoAnswer => {
                 *self.failures.entry(target).or_default() += 1;
             }
+            GrantEnd::Ended => self.on_ended(&sent.life, now),
             GrantEnd::Superseded | GrantEnd::Refused => {}
         }
         let renew_ms = self.bounds.renew_ms;
@@ -245,7 +246,9 @@
                     entry.unsure = until;
                     entry.renew_at = now + retry_ms;
                 }
-                GrantEnd::NotSent | GrantEnd::Refused => entry.renew_at = now + retry_ms,
+                GrantEnd::Ended | GrantEnd::NotSent | GrantEnd::Refused => {
+                    entry.renew_at = now + retry_ms;
+                }
                 GrantEnd::Superseded => superseded.push(entry.range.first),
             }
         }
@@ -259,6 +262,9 @@
         let Some(sent) = self.orders.remove(&id) else {
             return;
         };
+        if end == ReleaseEnd::Ended {
+            self.on_ended(&sent.life, now);
+        }
         let retry_ms = self.bounds.retry_ms;
         for entry in self.entries.values_mut() {
             let covered = entry.range.intersection(sent.range) == Some(entry.range);
@@ -371,6 +377,13 @@
         }
     }
 
+    /// A life has ended, so that it holds nothing any more.
+    fn on_ended(&mut self, life: &Life, now: Millis) {
+        for entry in self.entries.values_mut() {
+            entry.on_ended(life, now);
+        }
+    }
+
     fn next_stamp(&mut self) -> Stamp {
         self.stamp += 1;
         self.stamp
--- a/crates/coordinator/src/keeper/entry.rs
+++ b/crates/coordinator/src/keeper/entry.rs
@@ -143,8 +143,17 @@
 
     pub(super) fn on_lives(&mut self, lives: &BTreeMap<Arc<str>, u64>, now: Millis) {
         let reborn = |life: &Life| lives.get(&life.target).is_some_and(|it| *it != life.born);
-        self.earlier.retain(|it| !reborn(&it.life));
-        if reborn(&self.owner) {
+        self.end(reborn, now);
+    }
+
+    pub(super) fn on_ended(&mut self, life: &Life, now: Millis) {
+        self.end(|it| it == life, now);
+    }
+
+    /// Takes note of lives that hold nothing any more.
+    fn end(&mut self, ended: impl Fn(&Life) -> bool, now: Millis) {
+        self.earlier.retain(|it| !ended(&it.life));
+        if ended(&self.owner) {
             self.until = self.until.min(now);
             self.unsure = 0;
             self.lost = true;
@@ -177,7 +186,7 @@
                     earlier.retry_at = earlier.until;
                     self.handover.clone_from(handover);
                 }
-                ReleaseEnd::NoAnswer => earlier.retry_at = now + retry_ms,
+                ReleaseEnd::Ended | ReleaseEnd::NoAnswer => earlier.retry_at = now + retry_ms,
             }
         }
     }
--- a/crates/coordinator/src/keeper/order.rs
+++ b/crates/coordinator/src/keeper/order.rs
@@ -76,6 +76,8 @@
     Superseded,
     /// The target refused the order; it holds nothing by it.
     Refused,
+    /// The target has ended: something else answers at its address.
+    Ended,
     /// The order did not leave this host.
     NotSent,
     /// There was no answer. The target may hold the keys, now or later.
@@ -97,6 +99,8 @@
         /// Proof of the hand-over for the next owner.
         handover: Option<Arc<str>>,
     },
+    /// The target has ended: something else answers at its address.
+    Ended,
     /// There was no answer.
     NoAnswer,
 }
