--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -123,6 +123,11 @@
         if let Err(err) = stream.set_nodelay(true) {
             log::debug!("TCP_NODELAY cannot be set: {err}");
         }
+        // A connection that is given up is reset, so that bytes which are still held up on their
+        // way are lost and not acted upon later.
+        if let Err(err) = stream.set_zero_linger() {
+            log::debug!("SO_LINGER cannot be set: {err}");
+        }
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|_| ConnectError::Unreachable)?;
