--- a/crates/coordinator/src/keeper.rs
+++ b/crates/coordinator/src/keeper.rs
@@ -7,6 +7,7 @@
 //! owner, so that a later coordinator knows everyone who may hold them.
 
 mod entry;
+mod lost_orders;
 mod order;
 
 use std::{
@@ -17,10 +18,27 @@
 pub use self::order::{Bounds, GrantEnd, Order, OrderId, OrderKind, ReleaseEnd};
 use self::{
     entry::{Earlier, Entry},
+    lost_orders::LostOrders,
     order::Sent,
 };
 use crate::{Key, KeyRange, Life, Millis, Phase, Slice, SliceRow, Stamp};
 
+/// Time after a grant in which a refusal of the target is put down to a request that was sent before
+/// the grant arrived.
+const REFUSED_MS: u64 = 100;
+
+/// Interval at which a silent target is asked whether it answers again.
+const PROBE_MS: u64 = 1_000;
+
+/// A target that has not answered.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    /// When its first grant without an answer was sent.
+    since: Millis,
+    /// When it may be asked whether it answers again.
+    probe_at: Millis,
+}
+
 /// Bits of a stamp that count within a term.
 const STAMP_BITS: u32 = 24;
 
@@ -36,7 +54,9 @@
     lives: BTreeMap<Arc<str>, u64>,
     orders: HashMap<OrderId, Sent>,
     stored: BTreeMap<String, SliceRow>,
-    failures: BTreeMap<Arc<str>, u32>,
+    /// Targets that have not answered since their last grant.
+    silent: BTreeMap<Arc<str>, Silence>,
+    lost_orders: LostOrders,
     changed: BTreeSet<Key>,
 }
 
@@ -63,7 +83,8 @@
             lives: BTreeMap::new(),
             orders: HashMap::new(),
             stored: BTreeMap::new(),
-            failures: BTreeMap::new(),
+            silent: BTreeMap::new(),
+            lost_orders: LostOrders::default(),
             changed: BTreeSet::new(),
         };
         let until = now + bounds.longest_ms();
@@ -88,6 +109,7 @@
     /// A target that was started again under its old name holds nothing of what it held before.
     pub fn set_lives(&mut self, lives: impl IntoIterator<Item = Life>, now: Millis) {
         self.lives = lives.into_iter().map(|it| (it.target, it.born)).collect();
+        self.silent.retain(|it, _| self.lives.contains_key(it));
         for entry in self.entries.values_mut() {
             entry.on_lives(&self.lives, now);
         }
@@ -167,7 +189,7 @@
                     id,
                     life: earlier.life.clone(),
                     range,
-                    fence: entry.stamp,
+                    fence: entry.fence,
                     kind: OrderKind::Release,
                 });
             }
@@ -181,13 +203,14 @@
                 id,
                 life: entry.owner.clone(),
                 range,
-                fence: entry.stamp,
+                fence: entry.fence,
                 kind: OrderKind::Grant {
                     hold_ms: self.hold_ms,
                     handover: entry.handover.clone(),
                 },
             });
         }
+        self.probe(&mut orders, now);
         for order in &orders {
             self.orders.insert(order.id, Sent::new(order, now));
         }
@@ -203,10 +226,16 @@
         let target = Arc::clone(&sent.life.target);
         match end {
             GrantEnd::Accepted => {
-                self.failures.remove(&target);
+                self.silent.remove(&target);
+                self.lost_orders.note(now, false);
             }
             GrantEnd::NotSent | GrantEnd::NoAnswer => {
-                *self.failures.entry(target).or_default() += 1;
+                let silence = Silence {
+                    since: sent.at,
+                    probe_at: now + PROBE_MS,
+                };
+                self.silent.entry(target).or_insert(silence);
+                self.lost_orders.note(now, end == GrantEnd::NoAnswer);
             }
             GrantEnd::Ended => self.on_ended(&sent.life, now),
             GrantEnd::Superseded | GrantEnd::Refused => {}
@@ -224,7 +253,7 @@
                     earlier.on_late_grant(until, end);
                 }
             }
-            if entry.owner != sent.life || entry.stamp != sent.fence {
+            if entry.owner != sent.life || sent.fence < entry.stamp {
                 continue;
             }
             if entry.grant == Some(id) {
@@ -237,6 +266,10 @@
                 GrantEnd::Accepted => {
                     entry.renew_at = sent.at + renew_ms;
                     entry.handover = None;
+                    if sent.fence == entry.fence {
+                        // Any earlier grant that is still under way is refused from now on.
+                        entry.unsure = 0;
+                    }
                     if entry.phase == Phase::Pending {
                         entry.phase = Phase::Held;
                         self.changed.insert(entry.range.first);
@@ -244,7 +277,8 @@
                 }
                 GrantEnd::NoAnswer => {
                     entry.unsure = until;
-                    entry.renew_at = now + retry_ms;
+                    entry.renew_at = now;
+                    superseded.push(entry.range.first);
                 }
                 GrantEnd::Ended | GrantEnd::NotSent | GrantEnd::Refused => {
                     entry.renew_at = now + retry_ms;
@@ -253,7 +287,11 @@
             }
         }
         for start in superseded {
-            self.restamp(start, now);
+            let fence = self.next_stamp();
+            if let Some(entry) = self.entries.get_mut(&start) {
+                entry.fence = fence;
+                entry.renew_at = now;
+            }
         }
     }
 
@@ -262,8 +300,13 @@
         let Some(sent) = self.orders.remove(&id) else {
             return;
         };
-        if end == ReleaseEnd::Ended {
-            self.on_ended(&sent.life, now);
+        match end {
+            ReleaseEnd::Ended => self.on_ended(&sent.life, now),
+            ReleaseEnd::Done { .. } => {
+                self.silent.remove(&sent.life.target);
+                self.lost_orders.note(now, false);
+            }
+            ReleaseEnd::NoAnswer => self.lost_orders.note(now, true),
         }
         let retry_ms = self.bounds.retry_ms;
         for entry in self.entries.values_mut() {
@@ -304,18 +347,30 @@
             .is_some_and(|(_, it)| it.is_settled(now))
     }
 
-    /// Consecutive grants of a target that got no answer.
+    /// Since when a target has not answered any grant.
     #[must_use]
-    pub fn failures(&self, target: &str) -> u32 {
-        self.failures.get(target).copied().unwrap_or(0)
+    pub fn silent_since(&self, target: &str) -> Option<Millis> {
+        self.silent.get(target).map(|it| it.since)
     }
 
-    /// Stops renewing the grants of a target that does not answer, so that its hold runs out.
-    pub fn give_up(&mut self, target: &str) {
-        for entry in self.entries.values_mut() {
-            if *entry.owner.target == *target {
-                entry.lost = true;
-            }
+    /// Part of the latest orders that got no answer, from 0 to 1.
+    #[must_use]
+    pub fn lost_part(&self, now: Millis) -> f64 {
+        self.lost_orders.part(now)
+    }
+
+    /// Grants the slice with `key` again at once, because its owner refused a request for it.
+    pub fn on_refused(&mut self, key: Key, target: &str, now: Millis) {
+        let fence = self.next_stamp();
+        let Some((_, entry)) = self.entries.range_mut(..=key).next_back() else {
+            return;
+        };
+        let holds = entry.phase == Phase::Held && *entry.owner.target == *target;
+        // A renewal that is under way or has just ended settles the matter.
+        if holds && entry.grant.is_none() && now + self.bounds.renew_ms > entry.renew_at + REFUSED_MS
+        {
+            entry.fence = fence;
+            entry.renew_at = now;
         }
     }
 
@@ -384,21 +439,38 @@
         }
     }
 
+    /// Asks silent targets that own nothing whether they answer again: a release of what a target
+    /// does not hold changes nothing.
+    fn probe(&mut self, orders: &mut Vec<Order>, now: Millis) {
+        for (target, silence) in &mut self.silent {
+            let owns = self.entries.values().any(|it| it.owner.target == *target);
+            let Some(&born) = self.lives.get(target) else {
+                continue;
+            };
+            if owns || now < silence.probe_at {
+                continue;
+            }
+            silence.probe_at = now + PROBE_MS;
+            let id = OrderId(self.next_order);
+            self.next_order += 1;
+            orders.push(Order {
+                id,
+                life: Life {
+                    target: Arc::clone(target),
+                    born,
+                },
+                range: KeyRange::new(0, 0),
+                fence: 0,
+                kind: OrderKind::Release,
+            });
+        }
+    }
+
     fn next_stamp(&mut self) -> Stamp {
         self.stamp += 1;
         self.stamp
     }
 
-    /// Grants the slice again with a new stamp.
-    fn restamp(&mut self, start: Key, now: Millis) {
-        let stamp = self.next_stamp();
-        if let Some(entry) = self.entries.get_mut(&start) {
-            entry.stamp = stamp;
-            entry.renew_at = now;
-            self.changed.insert(start);
-        }
-    }
-
     fn insert(&mut self, entry: Entry) {
         self.changed.insert(entry.range.first);
         self.entries.insert(entry.range.first, entry);
--- a/crates/coordinator/src/keeper/entry.rs
+++ b/crates/coordinator/src/keeper/entry.rs
@@ -54,6 +54,9 @@
     pub(super) range: KeyRange,
     pub(super) owner: Life,
     pub(super) stamp: Stamp,
+    /// The fencing token of the next grant. It rises above the stamp when a grant gets no answer,
+    /// so that the target refuses that one if it is carried out after the next.
+    pub(super) fence: Stamp,
     pub(super) phase: Phase,
     pub(super) earlier: SmallVec<[Earlier; 1]>,
     /// The store names the owner.
@@ -76,6 +79,7 @@
             range,
             owner,
             stamp,
+            fence: stamp,
             phase: Phase::Pending,
             earlier: SmallVec::new(),
             recorded: false,
--- a/crates/router/src/control/tenure/plan.rs
+++ b/crates/router/src/control/tenure/plan.rs
@@ -28,8 +28,11 @@
 /// How much slower than this host's clock a target's clock may run.
 const DRIFT_PERCENT: u64 = 2;
 
-/// Grants without an answer after which a target counts as lost.
-const FAILURES: u32 = 3;
+/// Time without an answer to any grant after which a target counts as lost.
+const SILENT_MS: u64 = 900;
+
+/// Part of the orders without an answer from which keys move only if they must.
+const LOST_PART: f64 = 0.15;
 
 /// How long targets that are gone from the list may still run and are told to release keys.
 const LEAVING_MS: u64 = 20_000;
@@ -74,6 +77,9 @@
             let Some(charge) = self.charges.get_mut(&service) else {
                 continue;
             };
+            for key in &load.refused {
+                charge.keeper.on_refused(*key, &load.target, now);
+            }
             for it in &load.keys {
                 charge.demand.on_arrivals(now, it.key, it.count);
             }
@@ -105,7 +111,8 @@
                 let life = entry.life(name);
                 crew.lives.push(life.clone());
                 let registered = targets.get(name).is_some();
-                let answers = charge.keeper.failures(name) < FAILURES;
+                let silent = charge.keeper.silent_since(name);
+                let answers = silent.is_none_or(|it| now < it + SILENT_MS);
                 if registered && entry.state == TargetState::Ready && answers {
                     let cold = if entry.cold_ms > 0 { COLD_SPEED } else { 1.0 };
                     let capacity = f64::from(entry.slots) * charge.demand.speed(name) * cold;
@@ -153,7 +160,7 @@
             let kept = keeper.slices().filter(|it| is_usable(&it.owner));
             let pieces = kept.map(|it| Piece::from(&it)).collect();
             moves = place(&homeless, pieces, &crew.usable, &loads);
-        } else if balance {
+        } else if balance && keeper.lost_part(now) < LOST_PART {
             self.demand.settle(now);
             let loads = self.demand.loads(now);
             let mut pieces = Vec::new();
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -59,6 +59,12 @@
         return Outcome::not_sent(Reason::NotGateway);
     }
     let outcome = exchange(node, &turn, task).await;
+    if let Outcome::NotRun { reason: Reason::Fenced, .. } = &outcome
+        && let Some(key) = task.key
+    {
+        gate.on_refused(key);
+        node.report_soon.notify_one();
+    }
     let (end, health) = match &outcome {
         Outcome::Answered(answer) if answer.status().is_server_error() => {
             (End::Answered, Some(admission::Outcome::Failed))
--- a/crates/router/src/gateway/gate.rs
+++ b/crates/router/src/gateway/gate.rs
@@ -1,7 +1,7 @@
 //! The queue in front of one target, or of several that can replace each other.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
@@ -47,6 +47,7 @@
     members: Vec<Member>,
     keys: BTreeMap<Key, u32>,
     costs: BTreeMap<Arc<str>, (u32, u64)>,
+    refused: BTreeSet<Key>,
 }
 
 /// The place of a running request.
@@ -79,6 +80,7 @@
                 members: Vec::new(),
                 keys: BTreeMap::new(),
                 costs: BTreeMap::new(),
+                refused: BTreeSet::new(),
             }),
         }
     }
@@ -131,6 +133,11 @@
         }
     }
 
+    /// Notes that the target does not hold a key.
+    pub(super) fn on_refused(&self, key: Key) {
+        self.lock().refused.insert(key);
+    }
+
     /// Whether a request waits or runs.
     pub(super) fn is_busy(&self) -> bool {
         let inner = self.lock();
@@ -155,6 +162,7 @@
                     busy_ms: u32::try_from(busy_ms).unwrap_or(u32::MAX),
                 })
                 .collect(),
+            refused: std::mem::take(&mut inner.refused).into_iter().collect(),
             waiting: u32::try_from(inner.queue.waiting()).unwrap_or(u32::MAX),
         })
     }
--- a/crates/router/src/peers/coordination.rs
+++ b/crates/router/src/peers/coordination.rs
@@ -38,6 +38,8 @@
     pub keys: Vec<KeyCount>,
     /// What requests cost, by route.
     pub costs: Vec<RouteCost>,
+    /// Keys that the target refused because it does not hold them.
+    pub refused: Vec<Key>,
     /// Requests that wait.
     pub waiting: u32,
 }
--- a/crates/sassafrasd/src/mode.rs
+++ b/crates/sassafrasd/src/mode.rs
@@ -16,10 +16,11 @@
 const STORE_LIMIT: Duration = Duration::from_millis(800);
 
 /// Longest wait for the answer to a grant.
-const GRANT_LIMIT: Duration = Duration::from_millis(400);
+const GRANT_LIMIT: Duration = Duration::from_millis(250);
 
-/// Longest wait for the answer to a release, for which a target first ends its work.
-const RELEASE_LIMIT: Duration = Duration::from_secs(8);
+/// Longest wait for the answer to a release, for which a target first ends its work. It is repeated
+/// then, since the answer may have been lost.
+const RELEASE_LIMIT: Duration = Duration::from_secs(1);
 
 /// The kind of deployment, told apart by the settings.
 pub enum Mode {
