--- a/crates/coordinator/src/keeper.rs
+++ b/crates/coordinator/src/keeper.rs
@@ -115,15 +115,19 @@
         }
     }
 
-    /// Changes how long grants last, and renews all of them at once.
-    pub fn set_hold(&mut self, hold_ms: u64, now: Millis) {
-        if hold_ms == self.hold_ms {
-            return;
+    /// Lets grants last as long as they may, or as usual again; the former begins at once.
+    pub fn set_bridge(&mut self, bridges: bool, now: Millis) {
+        let hold_ms = if bridges {
+            self.bounds.max_hold_ms
+        } else {
+            self.bounds.hold_ms
+        };
+        if bridges && self.hold_ms < hold_ms {
+            for entry in self.entries.values_mut() {
+                entry.renew_at = entry.renew_at.min(now);
+            }
         }
         self.hold_ms = hold_ms;
-        for entry in self.entries.values_mut() {
-            entry.renew_at = entry.renew_at.min(now);
-        }
     }
 
     /// Gives the keys in `range` to `owner`. What it owns already stays untouched.
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -7,11 +7,11 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use coordinator::{
-    Demand, GrantEnd, Keeper, Millis, Order, OrderId, OrderKind, ReleaseEnd, SliceRow,
+    Demand, GrantEnd, Keeper, LeaseRow, Millis, Order, OrderId, OrderKind, ReleaseEnd, SliceRow,
 };
 use tokio::{sync::mpsc, task::JoinSet};
 
-use self::roster::Roster;
+use self::{commit::Written, roster::Roster};
 use super::{
     lease::Lease,
     loads,
@@ -32,17 +32,25 @@
 /// Interval at which loads are balanced.
 const BALANCE_MS: u64 = 200;
 
+/// Time without an answer to a write after which the store counts as slow.
+const SLOW_MS: u64 = 300;
+
 /// How an order ended.
 enum End {
     Grant(GrantEnd),
     Release(ReleaseEnd),
 }
 
-/// An order of a service that ended.
-struct Ended {
-    service: Arc<str>,
-    id: OrderId,
-    end: End,
+/// Something that was under way and has ended.
+enum Ended {
+    /// An order of a service.
+    Order {
+        service: Arc<str>,
+        id: OrderId,
+        end: End,
+    },
+    /// A write of the lease and of rows.
+    Write(Written),
 }
 
 /// The coordinator's view of one service with keys.
@@ -60,16 +68,20 @@
     renew_at: Millis,
     /// Writes are not repeated before this time.
     write_at: Millis,
+    /// When the write that is under way was begun.
+    writing: Option<Millis>,
     /// Writes in a row that failed.
     failures: u32,
     /// A host that can reach the store while this one cannot.
     heir: bool,
+    /// Another host holds the lease.
+    deposed: bool,
     balance_at: Millis,
     rows: Vec<SliceRow>,
     charges: BTreeMap<Arc<str>, Charge>,
     roster: Roster,
-    /// Nonces of writes of the lease whose answers were lost.
-    doubtful: Vec<u64>,
+    /// Writes of the lease whose answers were lost.
+    doubtful: Vec<LeaseRow>,
     ends: mpsc::UnboundedSender<Ended>,
     ended: mpsc::UnboundedReceiver<Ended>,
 }
@@ -85,8 +97,10 @@
             lease,
             renew_at: now + RENEW_MS,
             write_at: now,
+            writing: None,
             failures: 0,
             heir: false,
+            deposed: false,
             balance_at: now,
             rows,
             charges: BTreeMap::new(),
@@ -122,10 +136,10 @@
                 break;
             }
             let urgent = self.charges.values().any(|it| it.keeper.needs_commit());
-            let due = now >= self.write_at && (urgent || now >= self.renew_at);
-            if due && !self.commit().await {
-                break;
+            if now >= self.write_at && (urgent || now >= self.renew_at) {
+                self.commit();
             }
+            self.bridge(now);
             self.publish();
             tokio::select! {
                 ended = self.ended.recv() => self.note(ended),
@@ -138,6 +152,9 @@
             while let Ok(report) = reports.try_recv() {
                 self.hear(Some(report));
             }
+            if self.deposed {
+                break;
+            }
         }
         self.node.resign(self.lease.row.term);
         self.node.set_inbox(None);
@@ -162,8 +179,10 @@
     }
 
     fn note(&mut self, ended: Option<Ended>) {
-        let Some(Ended { service, id, end }) = ended else {
-            return;
+        let (service, id, end) = match ended {
+            Some(Ended::Order { service, id, end }) => (service, id, end),
+            Some(Ended::Write(written)) => return self.on_written(written),
+            None => return,
         };
         let now = self.node.clock.now();
         let Some(charge) = self.charges.get_mut(&service) else {
@@ -175,6 +194,16 @@
         }
     }
 
+    /// Lets grants last as long as they may while the store does not answer, so that owners keep
+    /// their keys when the lease ends before the store is back.
+    fn bridge(&mut self, now: Millis) {
+        let waits = self.writing.is_some_and(|it| now >= it + SLOW_MS);
+        let bridges = waits || self.failures > 0;
+        for charge in self.charges.values_mut() {
+            charge.keeper.set_bridge(bridges, now);
+        }
+    }
+
     fn hear(&mut self, report: Option<Report>) {
         let Some(report) = report else { return };
         let now = self.node.clock.now();
@@ -198,7 +227,7 @@
                     let id = order.id;
                     let end = send(&node, address, &order).await;
                     // The tenure may have ended meanwhile.
-                    let _ = ends.send(Ended { service, id, end });
+                    let _ = ends.send(Ended::Order { service, id, end });
                 });
             }
         }
--- a/crates/router/src/control/tenure/commit.rs
+++ b/crates/router/src/control/tenure/commit.rs
@@ -1,10 +1,10 @@
 //! Writing the lease and the owners of keys.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use coordinator::{LeaseRow, SliceRow, StoreClock};
+use coordinator::{LeaseRow, Millis, SliceRow, StoreClock};
 
-use super::{RENEW_MS, Tenure};
+use super::{Ended, RENEW_MS, Tenure};
 use crate::{
     control::lease::{LEASE_MS, encode},
     ports::{Commit, OwnRows, Transaction},
@@ -19,6 +19,9 @@
 /// Failed writes in a row after which a host is sought that can reach the store.
 const FAILURES: u32 = 2;
 
+/// Time for targets to answer the last grants of a host that stops.
+const LAST_GRANTS: Duration = Duration::from_millis(250);
+
 /// The rows of one service in a transaction.
 struct Batch {
     service: Arc<str>,
@@ -26,61 +29,98 @@
     removes: Vec<String>,
 }
 
+/// A write that has ended.
+pub(super) struct Written {
+    row: LeaseRow,
+    batches: Vec<Batch>,
+    sent: Millis,
+    commit: Commit,
+}
+
 impl Tenure {
-    /// Writes the rows that changed and renews the lease; returns whether the lease is held.
-    pub(super) async fn commit(&mut self) -> bool {
-        let batches = self.batches();
+    /// Begins to write the rows that changed and to renew the lease, unless a write is under way.
+    pub(super) fn commit(&mut self) {
+        if self.writing.is_some() {
+            return;
+        }
         let now = self.node.clock.now();
-        let row = LeaseRow {
-            until: self.lease.clock.earliest(now) + LEASE_MS,
-            nonce: rand::random(),
-            ..self.lease.row.clone()
-        };
-        self.write(row, batches).await
+        self.writing = Some(now);
+        let (row, batches, transaction) = self.prepare(|it| it.lease.clock.earliest(now) + LEASE_MS);
+        let node = Arc::clone(&self.node);
+        let ends = self.ends.clone();
+        tokio::spawn(async move {
+            let sent = node.clock.now();
+            let commit = node.store.commit(&transaction).await;
+            // The tenure may have ended meanwhile.
+            let _ = ends.send(Ended::Write(Written {
+                row,
+                batches,
+                sent,
+                commit,
+            }));
+        });
     }
 
     /// Ends the lease so that another host can take it at once.
     pub(super) async fn release(&mut self) {
+        let (_, _, transaction) = self.prepare(|_| 0);
+        let commit = self.node.store.commit(&transaction).await;
+        if matches!(commit, Commit::Applied { .. }) {
+            return;
+        }
+        log::warn!("the lease is left to end by itself");
+        let now = self.node.clock.now();
+        if now >= self.lease.until {
+            return;
+        }
+        for charge in self.charges.values_mut() {
+            charge.keeper.set_bridge(true, now);
+        }
+        self.order(now);
+        tokio::time::sleep(LAST_GRANTS).await;
+    }
+
+    fn prepare(
+        &self,
+        until: impl FnOnce(&Self) -> Millis,
+    ) -> (LeaseRow, Vec<Batch>, Transaction) {
         let row = LeaseRow {
-            until: 0,
+            until: until(self),
             nonce: rand::random(),
             ..self.lease.row.clone()
         };
-        let batches = self.batches();
-        if !self.write(row, batches).await {
-            log::warn!("the lease is left to end by itself");
-        }
-    }
-
-    fn batches(&self) -> Vec<Batch> {
+        let mut transaction = Transaction {
+            expected: vec![(LeaseRow::NAME.to_owned(), self.lease.rev)],
+            puts: vec![(LeaseRow::NAME.to_owned(), encode(&row))],
+            removes: Vec::new(),
+        };
         let mut batches = Vec::new();
         let mut room = ROWS;
         for (service, charge) in &self.charges {
             let (puts, removes) = charge.keeper.rows_to_write(room);
             room -= puts.len() + removes.len();
+            let values = puts.iter().map(|it| (it.name(), it.value()));
+            transaction.puts.extend(values);
+            transaction.removes.extend(removes.iter().cloned());
             batches.push(Batch {
                 service: Arc::clone(service),
                 puts,
                 removes,
             });
         }
-        batches
+        (row, batches, transaction)
     }
 
-    async fn write(&mut self, row: LeaseRow, batches: Vec<Batch>) -> bool {
-        let sent = self.node.clock.now();
-        let mut transaction = Transaction {
-            expected: vec![(LeaseRow::NAME.to_owned(), self.lease.rev)],
-            puts: vec![(LeaseRow::NAME.to_owned(), encode(&row))],
-            removes: Vec::new(),
-        };
-        for batch in &batches {
-            let puts = batch.puts.iter().map(|it| (it.name(), it.value()));
-            transaction.puts.extend(puts);
-            transaction.removes.extend(batch.removes.iter().cloned());
-        }
-        let nonce = row.nonce;
-        match self.node.store.commit(&transaction).await {
+    /// Takes note of a write that has ended.
+    pub(super) fn on_written(&mut self, written: Written) {
+        self.writing = None;
+        let Written {
+            row,
+            batches,
+            sent,
+            commit,
+        } = written;
+        match commit {
             Commit::Applied { rev, store_ms } => {
                 self.held(row, rev, sent);
                 self.node.set_needs_heir(false);
@@ -94,19 +134,16 @@
                         charge.keeper.on_commit(batch.puts, &batch.removes);
                     }
                 }
-                true
             }
             Commit::Conflict(rows) => self.recognise(&rows, sent),
             Commit::NotApplied(err) => {
                 log::warn!("the lease is not renewed: {err}");
                 self.failed();
-                true
             }
             Commit::Unknown => {
                 log::warn!("it is not known whether the lease is renewed");
-                self.doubtful.push(nonce);
+                self.doubtful.push(row);
                 self.failed();
-                true
             }
         }
     }
@@ -121,7 +158,7 @@
         }
     }
 
-    fn held(&mut self, row: LeaseRow, rev: u64, sent: u64) {
+    fn held(&mut self, row: LeaseRow, rev: u64, sent: Millis) {
         self.lease.until = self.lease.clock.before(row.until);
         self.lease.rev = rev;
         self.lease.row = row;
@@ -132,22 +169,26 @@
 
     /// Another revision of the lease is in the store: an own write whose answer was lost, or that
     /// of another host. The rows of such a write are written again.
-    fn recognise(&mut self, rows: &OwnRows, sent: u64) -> bool {
+    fn recognise(&mut self, rows: &OwnRows, sent: Millis) {
         let found = rows.rows.iter().find(|it| it.name == LeaseRow::NAME);
-        let Some(found) = found else { return false };
-        let row: LeaseRow = match serde_json::from_slice(&found.value) {
-            Ok(row) => row,
-            Err(err) => {
-                log::error!("the lease is malformed: {err}");
-                return false;
-            }
+        let row: Option<LeaseRow> =
+            found.and_then(|it| match serde_json::from_slice(&it.value) {
+                Ok(row) => Some(row),
+                Err(err) => {
+                    log::error!("the lease is malformed: {err}");
+                    None
+                }
+            });
+        let (Some(found), Some(row)) = (found, row) else {
+            self.deposed = true;
+            return;
         };
-        if !self.doubtful.contains(&row.nonce) {
+        if !self.doubtful.contains(&row) {
             log::warn!(holder = &*row.host; "another host holds the lease");
-            return false;
+            self.deposed = true;
+            return;
         }
         self.held(row, found.rev, sent);
         self.renew_at = sent;
-        true
     }
 }
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -4,13 +4,16 @@
 
 use admission::End;
 use bytes::Bytes;
-use coordinator::Phase;
+use coordinator::{Key, Phase};
 use http::{HeaderValue, Request, Response, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, Full};
 use pool::{ConnectError, Freshness};
 use refusal::Reason;
 
-use super::{GateId, Task, gate::Turn};
+use super::{
+    GateId, Task,
+    gate::{Gate, Turn},
+};
 use crate::{entry::end_to_end, node::Node};
 
 /// Longest wait for a new connection to a target.
@@ -19,6 +22,9 @@
 /// Longest wait for a target to be granted a key that is moving to it.
 const GRANT_WAIT_MS: u64 = 600;
 
+/// Interval at which a request looks whether its target holds the key.
+const GRANT_PAUSE: Duration = Duration::from_millis(40);
+
 /// How an attempt to have a request answered by a target ended.
 #[derive(Debug)]
 pub enum Outcome {
@@ -47,23 +53,32 @@
 
 /// Waits for a slot of a target and sends it the request.
 pub async fn run(node: &Arc<Node>, task: &Task) -> Outcome {
-    if let Err(reason) = await_grant(node, task).await {
+    let gate = node.gates.get(&task.gate);
+    if let Err(reason) = await_grant(node, &gate, task).await {
         return Outcome::not_sent(reason);
     }
-    let gate = node.gates.get(&task.gate);
     let turn = match gate.enter(node, task).await {
         Ok(turn) => turn,
         Err(reason) => return Outcome::not_sent(reason),
     };
-    if owns(node, task) == Owns::No {
-        return Outcome::not_sent(Reason::NotGateway);
-    }
+    let slice = match owns(node, task) {
+        Owns::Yes(slice) => slice,
+        Owns::Soon => return Outcome::not_sent(Reason::NoOwner),
+        Owns::No => return Outcome::not_sent(Reason::NotGateway),
+    };
     let outcome = exchange(node, &turn, task).await;
-    if let Outcome::NotRun { reason: Reason::Fenced, .. } = &outcome
-        && let Some(key) = task.key
-    {
-        gate.on_refused(key);
-        node.report_soon.notify_one();
+    if let (Some(first), Some(key)) = (slice, task.key) {
+        match &outcome {
+            Outcome::NotRun {
+                reason: Reason::Fenced,
+                ..
+            } => {
+                gate.on_refused(first, key);
+                node.report_soon.notify_one();
+            }
+            Outcome::Answered(_) => gate.on_held(first),
+            Outcome::NotRun { .. } | Outcome::Unknown(_) => {}
+        }
     }
     let (end, health) = match &outcome {
         Outcome::Answered(answer) if answer.status().is_server_error() => {
@@ -88,37 +103,39 @@
 /// Whether the target owns the key of a task.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Owns {
-    Yes,
+    /// It does, as part of the slice that begins with this key.
+    Yes(Option<Key>),
     Soon,
     No,
 }
 
 fn owns(node: &Node, task: &Task) -> Owns {
     let (GateId::Target(target), Some(key)) = (&task.gate, task.key) else {
-        return Owns::Yes;
+        return Owns::Yes(None);
     };
     let tables = node.tables();
     let Some(slice) = tables.get(&task.service).and_then(|it| it.find(key)) else {
-        return Owns::Yes;
+        return Owns::Yes(None);
     };
     if slice.owner.target != *target {
         return Owns::No;
     }
     match slice.phase {
-        Phase::Held => Owns::Yes,
+        Phase::Held => Owns::Yes(Some(slice.range.first)),
         Phase::Pending => Owns::Soon,
     }
 }
 
 /// Waits until the target has been granted the key.
-async fn await_grant(node: &Node, task: &Task) -> Result<(), Reason> {
+async fn await_grant(node: &Node, gate: &Gate, task: &Task) -> Result<(), Reason> {
     let until = task.end.min(node.clock.now() + GRANT_WAIT_MS);
     loop {
         let changed = node.changed.notified();
         tokio::pin!(changed);
         changed.as_mut().enable();
         match owns(node, task) {
-            Owns::Yes => return Ok(()),
+            Owns::Yes(Some(first)) if !gate.may_send(first) => {}
+            Owns::Yes(_) => return Ok(()),
             Owns::No => return Err(Reason::NotGateway),
             Owns::Soon => {}
         }
@@ -126,8 +143,9 @@
         if left == 0 {
             return Err(Reason::NoOwner);
         }
+        let pause = Duration::from_millis(left).min(GRANT_PAUSE);
         // Whether the owners changed or the time is over, the owner is looked up again.
-        let _ = tokio::time::timeout(Duration::from_millis(left), changed).await;
+        let _ = tokio::time::timeout(pause, changed).await;
     }
 }
 
--- a/crates/router/src/gateway/gate.rs
+++ b/crates/router/src/gateway/gate.rs
@@ -29,6 +29,9 @@
 /// Connections to a target of a service that the configuration does not name.
 const CONNECTIONS: usize = 16;
 
+/// Interval at which a request is sent to a target for keys whose grant has lapsed.
+const LAPSED_MS: u64 = 150;
+
 /// Longest time between two looks at the state of targets while a request waits.
 const LOOK_MS: u64 = 250;
 
@@ -48,6 +51,9 @@
     keys: BTreeMap<Key, u32>,
     costs: BTreeMap<Arc<str>, (u32, u64)>,
     refused: BTreeSet<Key>,
+    /// First keys of slices that the target does not hold although it should, and until when no
+    /// request for them is sent.
+    lapsed: BTreeMap<Key, Millis>,
 }
 
 /// The place of a running request.
@@ -81,6 +87,7 @@
                 keys: BTreeMap::new(),
                 costs: BTreeMap::new(),
                 refused: BTreeSet::new(),
+                lapsed: BTreeMap::new(),
             }),
         }
     }
@@ -133,9 +140,30 @@
         }
     }
 
-    /// Notes that the target does not hold a key.
-    pub(super) fn on_refused(&self, key: Key) {
-        self.lock().refused.insert(key);
+    /// Notes that the target does not hold a key of the slice that begins with `first`.
+    pub(super) fn on_refused(&self, first: Key, key: Key) {
+        let mut inner = self.lock();
+        inner.refused.insert(key);
+        let until = self.clock.now() + LAPSED_MS;
+        inner.lapsed.insert(first, until);
+    }
+
+    /// Notes that the target holds the slice that begins with `first`.
+    pub(super) fn on_held(&self, first: Key) {
+        self.lock().lapsed.remove(&first);
+    }
+
+    /// Whether a request for the slice may be sent: while its grant has lapsed, one now and then.
+    pub(super) fn may_send(&self, first: Key) -> bool {
+        let now = self.clock.now();
+        match self.lock().lapsed.get_mut(&first) {
+            Some(until) if now < *until => false,
+            Some(until) => {
+                *until = now + LAPSED_MS;
+                true
+            }
+            None => true,
+        }
     }
 
     /// Whether a request waits or runs.
