--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -51,7 +51,10 @@
         match read {
             Ok(read) => {
                 let complete = rev.is_none();
-                rev = Some(read.rev);
+                // A watch without news may have missed some, so it continues from what was seen:
+                // the store then delivers what was missed, or says that its history is gone.
+                let seen = read.records.iter().map(|it| it.rev).max();
+                rev = if complete { Some(read.rev) } else { seen.max(rev) };
                 apply(&node, topic, read, complete);
                 let at = if complete { sent } else { node.clock.now() };
                 steps.note(&node, topic, at);
