--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -225,12 +225,11 @@
         }
         {
             let mut feed = self.feed();
-            if news.complete || feed.position().term != news.position.term {
+            if !news.complete {
+                feed.extend(news.from, news.position, news.events);
+            } else if news.is_own() || feed.position() < news.position {
+                // The coordinator's position counts even if it is behind.
                 feed.restart(news.position);
-            } else {
-                for event in news.events {
-                    feed.push(event);
-                }
             }
         }
         if changed {
@@ -254,9 +253,11 @@
             self.coordinator().filter(|it| *it != own)
         };
         News {
+            peer: own,
             coordinator,
             needs_heir: self.needs_heir(),
             resigned: Some(self.resigned.load(Ordering::Relaxed)).filter(|it| *it > 0),
+            from: known,
             position,
             complete,
             events: events.unwrap_or_else(|| self.everything()),
--- a/crates/router/src/peers/coordination.rs
+++ b/crates/router/src/peers/coordination.rs
@@ -68,12 +68,16 @@
 /// What a host answers to a report.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct News {
+    /// Where the host takes control messages.
+    pub peer: SocketAddr,
     /// Where the coordinator is, as far as the host knows.
     pub coordinator: Option<SocketAddr>,
     /// The coordinator cannot reach the store, and resigns for a host that can.
     pub needs_heir: bool,
     /// The term in which the host coordinated and will not act any more.
     pub resigned: Option<u64>,
+    /// The position before the events; of no meaning if they are complete.
+    pub from: Position,
     /// The position after the events.
     pub position: Position,
     /// Whether the events are all that there is to know.
@@ -84,6 +88,14 @@
     pub age_ms: u64,
 }
 
+impl News {
+    /// Whether the host that sent it coordinates.
+    #[must_use]
+    pub fn is_own(&self) -> bool {
+        self.coordinator == Some(self.peer)
+    }
+}
+
 /// Messages between hosts.
 #[tarpc::service]
 pub trait Coordination {
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -65,6 +65,19 @@
         }
     }
 
+    /// Adds the events that lead from `from` to `to`. Answers of calls that were under way at the
+    /// same time overlap, so events that were added already are left out.
+    pub fn extend(&mut self, from: Position, to: Position, events: Vec<Event>) {
+        let at = self.position;
+        if from.term != at.term || at < from || to <= at {
+            return;
+        }
+        let known = usize::try_from(at.number - from.number).unwrap_or(usize::MAX);
+        for event in events.into_iter().skip(known) {
+            self.push(event);
+        }
+    }
+
     /// The events after `known`, or `None` if they are not all kept.
     #[must_use]
     pub fn after(&self, known: Position) -> Option<Vec<Event>> {
@@ -77,3 +90,6 @@
         Some(self.events.iter().skip(skipped).cloned().collect())
     }
 }
+
+#[cfg(test)]
+mod tests;
