--- a/crates/coordinator/src/keeper.rs
+++ b/crates/coordinator/src/keeper.rs
@@ -11,6 +11,7 @@
 mod order;
 
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
@@ -131,6 +132,10 @@
     }
 
     /// Gives the keys in `range` to `owner`. What it owns already stays untouched.
+    ///
+    /// # Panics
+    ///
+    /// Panics if entries that overlap the range share no key with it.
     pub fn assign(&mut self, range: KeyRange, owner: &Life, now: Millis) {
         for gap in self.gaps(range) {
             let stamp = self.next_stamp();
@@ -157,8 +162,7 @@
             }
             entry = entry.part(moved);
             let stamp = self.next_stamp();
-            let busy = self.grant_under_way(&entry);
-            entry.give(owner.clone(), stamp, busy, now);
+            entry.give(owner.clone(), stamp, now);
             self.insert(entry);
         }
     }
@@ -166,24 +170,13 @@
     /// The orders that are due at `now`, and what they clear.
     pub fn step(&mut self, now: Millis) -> Vec<Order> {
         let mut orders = Vec::new();
-        let grants: Vec<(KeyRange, Life)> = self
-            .orders
-            .values()
-            .filter(|it| it.is_grant)
-            .map(|it| (it.range, it.life.clone()))
-            .collect();
         for entry in self.entries.values_mut() {
             let range = entry.range;
-            let granting = |life: &Life| {
-                grants
-                    .iter()
-                    .any(|it| it.1 == *life && it.0.intersection(range).is_some())
-            };
-            entry.clear_ended(now, granting);
+            entry.clear_ended(now);
             let exists = |life: &Life| self.lives.get(&life.target) == Some(&life.born);
             for earlier in &mut entry.earlier {
                 let waits = earlier.release.is_some() || now < earlier.retry_at;
-                if waits || granting(&earlier.life) || !exists(&earlier.life) {
+                if waits || !exists(&earlier.life) {
                     continue;
                 }
                 let id = OrderId(self.next_order);
@@ -193,7 +186,7 @@
                     id,
                     life: earlier.life.clone(),
                     range,
-                    fence: entry.fence,
+                    fence: entry.stamp,
                     kind: OrderKind::Release,
                 });
             }
@@ -207,7 +200,7 @@
                 id,
                 life: entry.owner.clone(),
                 range,
-                fence: entry.fence,
+                fence: entry.stamp,
                 kind: OrderKind::Grant {
                     hold_ms: self.hold_ms,
                     handover: entry.handover.clone(),
@@ -252,12 +245,15 @@
                 continue;
             }
             for earlier in &mut entry.earlier {
+                if earlier.grant == Some(id) {
+                    earlier.grant = None;
+                }
                 // A grant that was under way when its slice moved may still count.
                 if earlier.life == sent.life && end.may_hold() {
-                    earlier.on_late_grant(until, end);
+                    earlier.until = earlier.until.max(until);
                 }
             }
-            if entry.owner != sent.life || sent.fence < entry.stamp {
+            if entry.owner != sent.life || entry.stamp != sent.fence {
                 continue;
             }
             if entry.grant == Some(id) {
@@ -270,20 +266,12 @@
                 GrantEnd::Accepted => {
                     entry.renew_at = sent.at + renew_ms;
                     entry.handover = None;
-                    if sent.fence == entry.fence {
-                        // Any earlier grant that is still under way is refused from now on.
-                        entry.unsure = 0;
-                    }
                     if entry.phase == Phase::Pending {
                         entry.phase = Phase::Held;
                         self.changed.insert(entry.range.first);
                     }
                 }
-                GrantEnd::NoAnswer => {
-                    entry.unsure = until;
-                    entry.renew_at = now;
-                    superseded.push(entry.range.first);
-                }
+                GrantEnd::NoAnswer => entry.renew_at = now,
                 GrantEnd::Ended | GrantEnd::NotSent | GrantEnd::Refused => {
                     entry.renew_at = now + retry_ms;
                 }
@@ -291,16 +279,17 @@
             }
         }
         for start in superseded {
-            let fence = self.next_stamp();
+            let stamp = self.next_stamp();
             if let Some(entry) = self.entries.get_mut(&start) {
-                entry.fence = fence;
+                entry.stamp = stamp;
                 entry.renew_at = now;
+                self.changed.insert(start);
             }
         }
     }
 
     /// Notes how a release ended at `now`.
-    pub fn on_release(&mut self, id: OrderId, end: ReleaseEnd, now: Millis) {
+    pub fn on_release(&mut self, id: OrderId, end: &ReleaseEnd, now: Millis) {
         let Some(sent) = self.orders.remove(&id) else {
             return;
         };
@@ -318,7 +307,7 @@
             if !covered {
                 continue;
             }
-            entry.on_release(id, &sent.life, &end, now, retry_ms);
+            entry.on_release(id, &sent.life, end, now, retry_ms);
         }
     }
 
@@ -344,11 +333,11 @@
 
     /// Whether the slice with `key` can be moved without waiting for a hold to run out.
     #[must_use]
-    pub fn is_settled(&self, key: Key, now: Millis) -> bool {
+    pub fn is_settled(&self, key: Key) -> bool {
         self.entries
             .range(..=key)
             .next_back()
-            .is_some_and(|(_, it)| it.is_settled(now))
+            .is_some_and(|(_, it)| it.is_settled())
     }
 
     /// Since when a target has not answered any grant.
@@ -365,15 +354,15 @@
 
     /// Grants the slice with `key` again at once, because its owner refused a request for it.
     pub fn on_refused(&mut self, key: Key, target: &str, now: Millis) {
-        let fence = self.next_stamp();
         let Some((_, entry)) = self.entries.range_mut(..=key).next_back() else {
             return;
         };
         let holds = entry.phase == Phase::Held && *entry.owner.target == *target;
         // A renewal that is under way or has just ended settles the matter.
-        if holds && entry.grant.is_none() && now + self.bounds.renew_ms > entry.renew_at + REFUSED_MS
+        if holds
+            && entry.grant.is_none()
+            && now + self.bounds.renew_ms > entry.renew_at + REFUSED_MS
         {
-            entry.fence = fence;
             entry.renew_at = now;
         }
     }
@@ -391,8 +380,12 @@
         self.entries.values().any(|it| !it.recorded)
     }
 
-    /// The rows to write so that the store matches this state: at most `limit`, the newest
-    /// assignments first, and the names of rows to remove.
+    /// The rows to write so that the store matches this state, and the names of rows to remove: at
+    /// most `limit` together.
+    ///
+    /// They are taken in an order in which the store always names everyone who may hold a key, even
+    /// if only the first of them are written: new rows, then changed ones, those that cover fewer
+    /// keys than before last, then removals. Of rows that cover the same key, the newest counts.
     #[must_use]
     pub fn rows_to_write(&self, limit: usize) -> (Vec<SliceRow>, Vec<String>) {
         let mut wanted = BTreeMap::new();
@@ -400,14 +393,20 @@
             let row = entry.row(&self.service);
             wanted.insert(row.name(), row);
         }
-        let mut puts: Vec<SliceRow> = wanted
-            .values()
-            .filter(|it| self.stored.get(&it.name()).is_none_or(|old| !same(old, it)))
-            .cloned()
-            .collect();
-        puts.sort_by_key(|it| std::cmp::Reverse(it.stamp));
+        let mut puts = Vec::new();
+        for (name, row) in &wanted {
+            let turn = match self.stored.get(name) {
+                None => Turn::New,
+                Some(old) if same(old, row) => continue,
+                Some(old) if old.range.last > row.range.last => Turn::Shrinks,
+                Some(_) => Turn::Changes,
+            };
+            puts.push((turn, row.clone()));
+        }
+        puts.sort_by_key(|(turn, row)| (*turn, Reverse(row.stamp), Reverse(row.range.first)));
         let all = puts.len() <= limit;
         puts.truncate(limit);
+        let puts: Vec<SliceRow> = puts.into_iter().map(|it| it.1).collect();
         let mut removes = Vec::new();
         // A row goes only after those that replace it.
         if all {
@@ -515,12 +514,17 @@
         gaps.extend(rest);
         gaps
     }
+}
 
-    fn grant_under_way(&self, entry: &Entry) -> bool {
-        self.orders.values().any(|it| {
-            it.is_grant && it.life == entry.owner && it.range.intersection(entry.range).is_some()
-        })
-    }
+/// When a row is written.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Turn {
+    /// The store has no row of this name.
+    New,
+    /// The row replaces one that covers no more keys.
+    Changes,
+    /// The row replaces one that covers more keys.
+    Shrinks,
 }
 
 /// Whether two rows tell a later coordinator the same.
--- a/crates/coordinator/src/keeper/entry.rs
+++ b/crates/coordinator/src/keeper/entry.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::{GrantEnd, OrderId, ReleaseEnd};
+use super::{OrderId, ReleaseEnd};
 use crate::{KeyRange, Life, Millis, Phase, Slice, SliceRow, Stamp};
 
 /// An owner of before that may still hold the keys.
@@ -13,8 +13,8 @@
     pub(super) life: Life,
     /// The latest end of its hold.
     pub(super) until: Millis,
-    /// A grant without an answer may be carried out until then, even after a release.
-    pub(super) unsure: Millis,
+    /// The grant that was under way when it lost the slice and still is.
+    pub(super) grant: Option<OrderId>,
     /// The release that is under way.
     pub(super) release: Option<OrderId>,
     /// When the release may be repeated.
@@ -28,23 +28,17 @@
         Self {
             life,
             until,
-            unsure: 0,
+            grant: None,
             release: None,
             retry_at: 0,
             released: false,
         }
     }
 
-    /// A grant that was under way when the slice moved may count until `until`.
-    pub(super) fn on_late_grant(&mut self, until: Millis, end: GrantEnd) {
-        self.until = self.until.max(until);
-        if end == GrantEnd::NoAnswer {
-            self.unsure = self.unsure.max(until);
-        }
-    }
-
+    /// A target refuses a grant that it receives after a release with a higher fencing token, so
+    /// nothing that is still under way counts after the release.
     fn is_clear(&self, now: Millis) -> bool {
-        now >= self.until || self.released && now >= self.unsure
+        self.released || self.grant.is_none() && now >= self.until
     }
 }
 
@@ -54,17 +48,12 @@
     pub(super) range: KeyRange,
     pub(super) owner: Life,
     pub(super) stamp: Stamp,
-    /// The fencing token of the next grant. It rises above the stamp when a grant gets no answer,
-    /// so that the target refuses that one if it is carried out after the next.
-    pub(super) fence: Stamp,
     pub(super) phase: Phase,
     pub(super) earlier: SmallVec<[Earlier; 1]>,
     /// The store names the owner.
     pub(super) recorded: bool,
     /// The latest end of the owner's hold; 0 if it was never granted the keys.
     pub(super) until: Millis,
-    /// A grant without an answer may be carried out until then.
-    pub(super) unsure: Millis,
     pub(super) renew_at: Millis,
     pub(super) grant: Option<OrderId>,
     pub(super) handover: Option<Arc<str>>,
@@ -79,12 +68,10 @@
             range,
             owner,
             stamp,
-            fence: stamp,
             phase: Phase::Pending,
             earlier: SmallVec::new(),
             recorded: false,
             until: 0,
-            unsure: 0,
             renew_at: 0,
             grant: None,
             handover: None,
@@ -122,11 +109,11 @@
         }
     }
 
-    /// Gives the slice to `owner`. `busy` says that a grant of the present owner is under way.
-    pub(super) fn give(&mut self, owner: Life, stamp: Stamp, busy: bool, now: Millis) {
-        if busy || self.until > now {
+    /// Gives the slice to `owner`.
+    pub(super) fn give(&mut self, owner: Life, stamp: Stamp, now: Millis) {
+        if self.grant.is_some() || self.until > now {
             let mut earlier = Earlier::new(self.owner.clone(), self.until);
-            earlier.unsure = self.unsure;
+            earlier.grant = self.grant;
             self.earlier.push(earlier);
         }
         let earlier = std::mem::take(&mut self.earlier);
@@ -159,16 +146,13 @@
         self.earlier.retain(|it| !ended(&it.life));
         if ended(&self.owner) {
             self.until = self.until.min(now);
-            self.unsure = 0;
             self.lost = true;
         }
     }
 
-    /// Drops the earlier owners that cannot hold the keys any more. `granting` tells whether a
-    /// grant to one of them is under way.
-    pub(super) fn clear_ended(&mut self, now: Millis, granting: impl Fn(&Life) -> bool) {
-        self.earlier
-            .retain(|it| !it.is_clear(now) || granting(&it.life));
+    /// Drops the earlier owners that cannot hold the keys any more.
+    pub(super) fn clear_ended(&mut self, now: Millis) {
+        self.earlier.retain(|it| !it.is_clear(now));
     }
 
     pub(super) fn on_release(
@@ -195,8 +179,8 @@
         }
     }
 
-    pub(super) fn is_settled(&self, now: Millis) -> bool {
-        self.phase == Phase::Held && self.earlier.is_empty() && now >= self.unsure && !self.lost
+    pub(super) fn is_settled(&self) -> bool {
+        self.phase == Phase::Held && self.earlier.is_empty() && !self.lost
     }
 
     pub(super) fn slice(&self) -> Slice {
--- a/crates/coordinator/src/keeper/order.rs
+++ b/crates/coordinator/src/keeper/order.rs
@@ -113,7 +113,6 @@
     pub(super) fence: Stamp,
     pub(super) at: Millis,
     pub(super) hold_ms: u64,
-    pub(super) is_grant: bool,
 }
 
 impl Sent {
@@ -128,7 +127,6 @@
             fence: order.fence,
             at: now,
             hold_ms,
-            is_grant: matches!(order.kind, OrderKind::Grant { .. }),
         }
     }
 }
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -49,6 +49,7 @@
 
 impl Pool {
     /// Creates an empty pool of at most `limit` connections.
+    #[must_use]
     pub fn new(address: SocketAddr, limit: usize) -> Self {
         Self {
             address,
@@ -74,6 +75,10 @@
     }
 
     /// Takes an idle connection or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can be had within `timeout`.
     pub async fn checkout(
         &self,
         freshness: Freshness,
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -196,17 +196,18 @@
     wait: Duration,
 ) -> Option<News> {
     let report = report(node, store, wait);
+    let crashes = report.crashes.clone();
     let mut context = context::current();
     let limit = wait + ANSWER;
     context.deadline = std::time::Instant::now() + limit;
     match tokio::time::timeout(limit, client.sync(context, report)).await {
-        Ok(Ok(news)) => Some(news),
-        Ok(Err(err)) => {
-            log::debug!("a report failed: {err}");
-            None
-        }
-        Err(_) => None,
+        Ok(Ok(news)) => return Some(news),
+        Ok(Err(err)) => log::debug!("a report failed: {err}"),
+        Err(_) => log::debug!("a report was not answered in time"),
     }
+    // The next report repeats them; a crash that is reported twice counts once.
+    node.poison.put_back(crashes);
+    None
 }
 
 fn report(node: &Node, store: Option<bool>, wait: Duration) -> Report {
@@ -217,7 +218,7 @@
         known: node.feed().position(),
         span_ms,
         loads,
-        poison: Vec::new(),
+        crashes: node.poison.take_seen(),
         store,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
     }
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -1,17 +1,22 @@
 //! The time for which this host coordinates.
 
 mod commit;
+mod crashes;
 mod plan;
 mod roster;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use coordinator::{
-    Demand, GrantEnd, Keeper, LeaseRow, Millis, Order, OrderId, OrderKind, ReleaseEnd, SliceRow,
+    Demand, GrantEnd, Keeper, Millis, Order, OrderId, OrderKind, ReleaseEnd, SliceRow,
 };
 use tokio::{sync::mpsc, task::JoinSet};
 
-use self::{commit::Written, roster::Roster};
+use self::{
+    commit::{Draft, Written},
+    crashes::Crashes,
+    roster::Roster,
+};
 use super::{
     lease::Lease,
     loads,
@@ -19,7 +24,7 @@
 };
 use crate::{
     node::Node,
-    peers::{Event, Position, Report},
+    peers::{Crash, Event, Position, Report},
     ports::Topic,
 };
 
@@ -80,8 +85,10 @@
     rows: Vec<SliceRow>,
     charges: BTreeMap<Arc<str>, Charge>,
     roster: Roster,
-    /// Writes of the lease whose answers were lost.
-    doubtful: Vec<LeaseRow>,
+    crashes: Crashes,
+    /// Writes whose answers were lost. All expect the same revision of the lease, so at most one
+    /// of them is carried out.
+    doubtful: Vec<Draft>,
     ends: mpsc::UnboundedSender<Ended>,
     ended: mpsc::UnboundedReceiver<Ended>,
 }
@@ -104,6 +111,7 @@
             balance_at: now,
             rows,
             charges: BTreeMap::new(),
+            crashes: Crashes::default(),
             doubtful: Vec::new(),
             ends,
             ended,
@@ -190,7 +198,7 @@
         };
         match end {
             End::Grant(end) => charge.keeper.on_grant(id, end, now),
-            End::Release(end) => charge.keeper.on_release(id, end, now),
+            End::Release(end) => charge.keeper.on_release(id, &end, now),
         }
     }
 
@@ -209,8 +217,7 @@
         let now = self.node.clock.now();
         self.roster.hear(&report, now);
         self.heir |= self.node.needs_heir() && report.store == Some(true);
-        self.node
-            .announce(report.poison.iter().map(|it| Event::Poison(*it)).collect());
+        self.judge(report.crashes, now);
         self.count(&report.loads, now);
     }
 
@@ -251,6 +258,25 @@
     fn count_own(&mut self, now: Millis) {
         let (_, loads) = loads::collect(&self.node);
         self.count(&loads, now);
+        let crashes = self.node.poison.take_seen();
+        self.judge(crashes, now);
+    }
+
+    /// Quarantines requests that crashed several targets.
+    fn judge(&mut self, crashes: Vec<Crash>, now: Millis) {
+        let mut events = Vec::new();
+        for crash in crashes {
+            let fingerprint = crash.fingerprint;
+            if !self.crashes.note(crash, now) {
+                continue;
+            }
+            log::warn!(
+                fingerprint = format!("{fingerprint:016x}");
+                "a request is quarantined because targets crash on it"
+            );
+            events.push(Event::Poison(fingerprint));
+        }
+        self.node.announce(events);
     }
 }
 
--- a/crates/router/src/control/tenure/commit.rs
+++ b/crates/router/src/control/tenure/commit.rs
@@ -29,10 +29,15 @@
     removes: Vec<String>,
 }
 
-/// A write that has ended.
-pub(super) struct Written {
+/// What a transaction writes.
+pub(super) struct Draft {
     row: LeaseRow,
     batches: Vec<Batch>,
+}
+
+/// A write that has ended.
+pub(super) struct Written {
+    draft: Draft,
     sent: Millis,
     commit: Commit,
 }
@@ -45,7 +50,8 @@
         }
         let now = self.node.clock.now();
         self.writing = Some(now);
-        let (row, batches, transaction) = self.prepare(|it| it.lease.clock.earliest(now) + LEASE_MS);
+        let until = self.lease.clock.earliest(now) + LEASE_MS;
+        let (draft, transaction) = self.prepare(until);
         let node = Arc::clone(&self.node);
         let ends = self.ends.clone();
         tokio::spawn(async move {
@@ -53,8 +59,7 @@
             let commit = node.store.commit(&transaction).await;
             // The tenure may have ended meanwhile.
             let _ = ends.send(Ended::Write(Written {
-                row,
-                batches,
+                draft,
                 sent,
                 commit,
             }));
@@ -63,7 +68,7 @@
 
     /// Ends the lease so that another host can take it at once.
     pub(super) async fn release(&mut self) {
-        let (_, _, transaction) = self.prepare(|_| 0);
+        let (_, transaction) = self.prepare(0);
         let commit = self.node.store.commit(&transaction).await;
         if matches!(commit, Commit::Applied { .. }) {
             return;
@@ -80,12 +85,9 @@
         tokio::time::sleep(LAST_GRANTS).await;
     }
 
-    fn prepare(
-        &self,
-        until: impl FnOnce(&Self) -> Millis,
-    ) -> (LeaseRow, Vec<Batch>, Transaction) {
+    fn prepare(&self, until: Millis) -> (Draft, Transaction) {
         let row = LeaseRow {
-            until: until(self),
+            until,
             nonce: rand::random(),
             ..self.lease.row.clone()
         };
@@ -108,32 +110,26 @@
                 removes,
             });
         }
-        (row, batches, transaction)
+        (Draft { row, batches }, transaction)
     }
 
     /// Takes note of a write that has ended.
     pub(super) fn on_written(&mut self, written: Written) {
         self.writing = None;
         let Written {
-            row,
-            batches,
+            draft,
             sent,
             commit,
         } = written;
         match commit {
             Commit::Applied { rev, store_ms } => {
-                self.held(row, rev, sent);
+                self.held(draft, rev, sent);
                 self.node.set_needs_heir(false);
                 self.lease.clock = StoreClock {
                     sent,
                     received: self.node.clock.now(),
                     value: store_ms,
                 };
-                for batch in batches {
-                    if let Some(charge) = self.charges.get_mut(&batch.service) {
-                        charge.keeper.on_commit(batch.puts, &batch.removes);
-                    }
-                }
             }
             Commit::Conflict(rows) => self.recognise(&rows, sent),
             Commit::NotApplied(err) => {
@@ -142,7 +138,7 @@
             }
             Commit::Unknown => {
                 log::warn!("it is not known whether the lease is renewed");
-                self.doubtful.push(row);
+                self.doubtful.push(draft);
                 self.failed();
             }
         }
@@ -158,37 +154,44 @@
         }
     }
 
-    fn held(&mut self, row: LeaseRow, rev: u64, sent: Millis) {
+    /// The store has carried out a write, so this host holds the lease.
+    fn held(&mut self, draft: Draft, rev: u64, sent: Millis) {
+        let Draft { row, batches } = draft;
         self.lease.until = self.lease.clock.before(row.until);
         self.lease.rev = rev;
         self.lease.row = row;
+        for batch in batches {
+            if let Some(charge) = self.charges.get_mut(&batch.service) {
+                charge.keeper.on_commit(batch.puts, &batch.removes);
+            }
+        }
         self.doubtful.clear();
         self.failures = 0;
         self.renew_at = sent + RENEW_MS;
     }
 
-    /// Another revision of the lease is in the store: an own write whose answer was lost, or that
-    /// of another host. The rows of such a write are written again.
+    /// Another revision of the lease is in the store: that of an own write whose answer was lost,
+    /// or that of another host.
     fn recognise(&mut self, rows: &OwnRows, sent: Millis) {
         let found = rows.rows.iter().find(|it| it.name == LeaseRow::NAME);
-        let row: Option<LeaseRow> =
-            found.and_then(|it| match serde_json::from_slice(&it.value) {
-                Ok(row) => Some(row),
-                Err(err) => {
-                    log::error!("the lease is malformed: {err}");
-                    None
-                }
-            });
+        let row: Option<LeaseRow> = found.and_then(|it| match serde_json::from_slice(&it.value) {
+            Ok(row) => Some(row),
+            Err(err) => {
+                log::error!("the lease is malformed: {err}");
+                None
+            }
+        });
         let (Some(found), Some(row)) = (found, row) else {
             self.deposed = true;
             return;
         };
-        if !self.doubtful.contains(&row) {
+        let Some(idx) = self.doubtful.iter().position(|it| it.row == row) else {
             log::warn!(holder = &*row.host; "another host holds the lease");
             self.deposed = true;
             return;
-        }
-        self.held(row, found.rev, sent);
+        };
+        let draft = self.doubtful.swap_remove(idx);
+        self.held(draft, found.rev, sent);
         self.renew_at = sent;
     }
 }
--- a/crates/router/src/control/tenure/plan.rs
+++ b/crates/router/src/control/tenure/plan.rs
@@ -166,7 +166,7 @@
             let mut pieces = Vec::new();
             for slice in keeper.slices() {
                 pieces.push(Piece {
-                    movable: keeper.is_settled(slice.range.first, now),
+                    movable: keeper.is_settled(slice.range.first),
                     ..Piece::from(&slice)
                 });
             }
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -15,7 +15,7 @@
 
 /// How long the store holds a watch without news. A watch on a connection that went silent is
 /// noticed after this time.
-const WAIT: Duration = Duration::from_millis(1_000);
+const WAIT: Duration = Duration::from_secs(1);
 
 /// Pause after a failed call.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -54,7 +54,11 @@
                 // A watch without news may have missed some, so it continues from what was seen:
                 // the store then delivers what was missed, or says that its history is gone.
                 let seen = read.records.iter().map(|it| it.rev).max();
-                rev = if complete { Some(read.rev) } else { seen.max(rev) };
+                rev = if complete {
+                    Some(read.rev)
+                } else {
+                    seen.max(rev)
+                };
                 apply(&node, topic, read, complete);
                 let at = if complete { sent } else { node.clock.now() };
                 steps.note(&node, topic, at);
--- a/crates/router/src/entry/connection.rs
+++ b/crates/router/src/entry/connection.rs
@@ -52,11 +52,7 @@
 
 /// Serves a connection until the caller closes it, or `closing` turns true and the requests that
 /// have begun are answered.
-pub(super) async fn serve(
-    node: Arc<Node>,
-    stream: TcpStream,
-    mut closing: watch::Receiver<bool>,
-) {
+pub(super) async fn serve(node: Arc<Node>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
     let limits = node.catalog.load().as_ref().map(|it| *it.limits());
     let idle = limits.map_or(HEAD_LIMIT, |it| {
         Duration::from_millis(it.idle_ms.max(it.head_ms))
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -32,6 +32,9 @@
         ran: Ran::NotRun,
         refused: Vec::new(),
     };
+    if node.poison.refuses(&task, call.arrived) {
+        return Err(Reason::Quarantined.into());
+    }
     node.budgets.on_request(&task.service, node.clock.now());
     loop {
         let now = node.clock.now();
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -11,11 +11,13 @@
 mod gates;
 mod hop;
 mod member;
+mod poison;
 mod serve;
 mod task;
 
 pub use exchange::{Outcome, run};
 pub use forward::Forwarder;
 pub use gates::Gates;
+pub use poison::Poison;
 pub use serve::bind;
 pub use task::{GateId, Patience, Task};
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -13,6 +13,7 @@
 use super::{
     GateId, Task,
     gate::{Gate, Turn},
+    poison,
 };
 use crate::{entry::end_to_end, node::Node};
 
@@ -80,6 +81,9 @@
             Outcome::NotRun { .. } | Outcome::Unknown(_) => {}
         }
     }
+    if matches!(outcome, Outcome::Unknown(Reason::TargetLost)) {
+        poison::confirm(node, &turn.pool, turn.life.clone(), task).await;
+    }
     let (end, health) = match &outcome {
         Outcome::Answered(answer) if answer.status().is_server_error() => {
             (End::Answered, Some(admission::Outcome::Failed))
@@ -159,7 +163,7 @@
         }
         Err(ConnectError::Exhausted) => return Outcome::not_sent(Reason::TargetShed),
     };
-    let request = request_of(node, &turn.target, task);
+    let request = request_of(node, &turn.life.target, task);
     let exchange = async {
         let answer = sender.send_request(request).await?;
         let (parts, body) = answer.into_parts();
@@ -169,7 +173,7 @@
     let (parts, body) = match tokio::time::timeout(left, exchange).await {
         Err(_) => return Outcome::Unknown(Reason::DeadlineAfterStart),
         Ok(Err(err)) => {
-            log::debug!("a connection to target {} failed: {err}", turn.target);
+            log::debug!("a connection to target {} failed: {err}", turn.life.target);
             return Outcome::Unknown(Reason::TargetLost);
         }
         Ok(Ok(answer)) => answer,
--- a/crates/router/src/gateway/gate.rs
+++ b/crates/router/src/gateway/gate.rs
@@ -7,7 +7,7 @@
 };
 
 use admission::{Decision, Decisions, End, Limits, Offer, Outcome, Queue, Ticket};
-use coordinator::{Key, Millis};
+use coordinator::{Key, Life, Millis};
 use pool::Pool;
 use process::BootClock;
 use refusal::Reason;
@@ -64,7 +64,7 @@
     route: Arc<str>,
     ended: bool,
     /// The target that runs it.
-    pub(super) target: Arc<str>,
+    pub(super) life: Life,
     /// Connections to the target.
     pub(super) pool: Arc<Pool>,
 }
@@ -235,7 +235,7 @@
             started: now,
             route: Arc::clone(&task.route),
             ended: false,
-            target: Arc::clone(&member.name),
+            life: member.entry.life(&member.name),
             pool: Arc::clone(&member.pool),
         })
     }
@@ -368,7 +368,7 @@
             cost.1 += took;
         }
         let members = &mut inner.members;
-        if let Some(member) = members.iter_mut().find(|it| it.name == self.target) {
+        if let Some(member) = members.iter_mut().find(|it| it.name == self.life.target) {
             member.on_end(now, took, outcome);
         }
         let decisions = inner.queue.finish(now, self.id, took, end);
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -4,7 +4,7 @@
 //! across an await.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard, RwLockWriteGuard,
@@ -20,7 +20,7 @@
 
 use crate::{
     entry::{Budgets, Suspects},
-    gateway::{Forwarder, Gates},
+    gateway::{Forwarder, Gates, Poison},
     peers::{Event, Feed, HostInfo, Hosts, News, Position, Report},
     ports::{Dialect, Store, TargetApi},
     run::Ports,
@@ -57,6 +57,8 @@
     pub budgets: Budgets,
     /// Hosts that did not answer lately.
     pub suspects: Suspects,
+    /// Requests that crash targets.
+    pub poison: Poison,
     /// Notified when targets, slices or hosts change.
     pub changed: Notify,
     /// Notified when there is news for other hosts.
@@ -69,7 +71,6 @@
     tables: RwLock<Tables>,
     feed: Mutex<Feed>,
     pickers: Mutex<HashMap<Arc<str>, Picker>>,
-    poison: Mutex<BTreeSet<u64>>,
     coordinator: Mutex<Option<SocketAddr>>,
     inbox: Mutex<Option<mpsc::UnboundedSender<Report>>>,
     synced: AtomicBool,
@@ -102,6 +103,7 @@
             forwarder: Forwarder::new(),
             budgets: Budgets::new(settings.bounds.retry_ratio),
             suspects: Suspects::default(),
+            poison: Poison::default(),
             changed: Notify::new(),
             fed: Notify::new(),
             report_soon: Notify::new(),
@@ -110,7 +112,6 @@
             tables: RwLock::default(),
             feed: Mutex::default(),
             pickers: Mutex::default(),
-            poison: Mutex::default(),
             coordinator: Mutex::default(),
             inbox: Mutex::default(),
             synced: AtomicBool::new(false),
@@ -141,12 +142,6 @@
         self.pickers.lock().expect("no holder of the lock panics")
     }
 
-    /// Whether requests with this fingerprint crash targets.
-    pub fn is_poison(&self, fingerprint: u64) -> bool {
-        let poison = self.poison.lock().expect("no holder of the lock panics");
-        poison.contains(&fingerprint)
-    }
-
     /// Where the coordinator is, as far as this host knows.
     pub fn coordinator(&self) -> Option<SocketAddr> {
         *self
@@ -304,8 +299,8 @@
             }
         }
         events.push(Event::Hosts(self.hosts.load().iter().cloned().collect()));
-        let poison = self.poison.lock().expect("no holder of the lock panics");
-        events.extend(poison.iter().map(|it| Event::Poison(*it)));
+        let quarantined = self.poison.quarantined(self.clock.now());
+        events.extend(quarantined.into_iter().map(Event::Poison));
         events
     }
 
@@ -338,10 +333,7 @@
                 self.hosts.store(Arc::new(hosts));
                 true
             }
-            Event::Poison(fingerprint) => {
-                let mut poison = self.poison.lock().expect("no holder of the lock panics");
-                poison.insert(*fingerprint)
-            }
+            Event::Poison(fingerprint) => self.poison.quarantine(*fingerprint, self.clock.now()),
         }
     }
 
--- a/crates/router/src/peers/coordination.rs
+++ b/crates/router/src/peers/coordination.rs
@@ -4,7 +4,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use coordinator::Key;
+use coordinator::{Key, Life};
 use serde::{Deserialize, Serialize};
 
 use super::{Event, HostInfo, Position};
@@ -44,6 +44,15 @@
     pub waiting: u32,
 }
 
+/// A crash of a target at which a request was in flight.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Crash {
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+    /// The life of the target.
+    pub life: Life,
+}
+
 /// What a host reports.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Report {
@@ -57,8 +66,8 @@
     pub span_ms: u32,
     /// Load of the targets whose gateway it is.
     pub loads: Vec<TargetLoad>,
-    /// Fingerprints of requests that it saw crash targets.
-    pub poison: Vec<u64>,
+    /// Crashes that it saw.
+    pub crashes: Vec<Crash>,
     /// Whether the host can reach the store; `None` if it has not tried lately.
     pub store: Option<bool>,
     /// Longest time in milliseconds to wait for news.
--- a/crates/router/src/peers/feed/tests.rs
+++ b/crates/router/src/peers/feed/tests.rs
@@ -36,11 +36,36 @@
         position: u64,
     }
     let cases = [
-        Case { name: "next", from: 3, to: 5, position: 5 },
-        Case { name: "overlap", from: 1, to: 5, position: 5 },
-        Case { name: "old", from: 0, to: 2, position: 3 },
-        Case { name: "same", from: 0, to: 3, position: 3 },
-        Case { name: "gap", from: 4, to: 5, position: 3 },
+        Case {
+            name: "next",
+            from: 3,
+            to: 5,
+            position: 5,
+        },
+        Case {
+            name: "overlap",
+            from: 1,
+            to: 5,
+            position: 5,
+        },
+        Case {
+            name: "old",
+            from: 0,
+            to: 2,
+            position: 3,
+        },
+        Case {
+            name: "same",
+            from: 0,
+            to: 3,
+            position: 3,
+        },
+        Case {
+            name: "gap",
+            from: 4,
+            to: 5,
+            position: 3,
+        },
     ];
     for case in cases {
         let mut feed = feed_with(3);
@@ -60,6 +85,9 @@
     assert_eq!(numbers(feed.after(at(598))), Some(vec![599, 600]));
     assert_eq!(numbers(feed.after(at(600))), Some(Vec::new()));
     assert_eq!(numbers(feed.after(at(601))), None);
-    let other = Position { term: 2, number: 600 };
+    let other = Position {
+        term: 2,
+        number: 600,
+    };
     assert_eq!(numbers(feed.after(other)), None);
 }
--- a/crates/router/src/peers/hosts.rs
+++ b/crates/router/src/peers/hosts.rs
@@ -38,12 +38,6 @@
         }
     }
 
-    /// A host by name.
-    #[must_use]
-    pub fn get(&self, name: &str) -> Option<&HostInfo> {
-        self.list.get(name)
-    }
-
     /// All hosts in name order.
     pub fn iter(&self) -> impl Iterator<Item = &HostInfo> {
         self.list.values()
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -69,7 +69,10 @@
     let limit = Duration::from_secs_f64(node.settings.bounds.grace) * GRACE_PERCENT / 100;
     let limit = limit.saturating_sub(NOTICE);
     entry::serve(Arc::clone(&node), callers, stop, limit).await;
-    if tokio::time::timeout(limit, node.gates.idle()).await.is_err() {
+    if tokio::time::timeout(limit, node.gates.idle())
+        .await
+        .is_err()
+    {
         log::warn!("forwarded requests did not end in time");
     }
     log::info!("stopped");
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -93,11 +93,10 @@
     ///
     /// Fails if the text is not YAML of this type or breaks a rule.
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        let mut it: Self =
-            serde_yaml_ng::from_str(text).map_err(|err| SettingsError::Format {
-                file: file.to_owned(),
-                text: err.to_string(),
-            })?;
+        let mut it: Self = serde_yaml_ng::from_str(text).map_err(|err| SettingsError::Format {
+            file: file.to_owned(),
+            text: err.to_string(),
+        })?;
         it.file = PathBuf::from(file);
         match it.broken() {
             None => Ok(it),
