Write a line for each decision on a request, and serve metrics

Cause: a failed request could not be explained. The router wrote no line that names a request and served no metrics. Entry hosts now write the way of a request (route, version, age of knowledge, each attempt with gate, host, reason and times), gateways what a target did or why the gate turned it away, the coordinator orders that were not carried out, and every host what it believes: targets, hosts, configuration, store lost and back. Lines of each kind have a budget and count what they leave out; standard output is written by a thread behind a bounded buffer that drops and counts. Counters and histograms (requests, refusals and retries by reason, store calls, orders, bytes between hosts, waits) are served at /metrics; sassafrasd uses the same exporter.

--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -1,8 +1,12 @@
-//! What every process of the product has: structured logs and a clock for leases.
+//! What every process of the product has: structured logs, export of metrics and a clock for
+//! leases.
 //!
 //! The crate knows nothing of requests, hosts or targets.
 
 mod boot_clock;
+mod exporter;
 pub mod logging;
+mod output;
 
 pub use boot_clock::BootClock;
+pub use exporter::Exporter;
--- a/crates/process/src/logging.rs
+++ b/crates/process/src/logging.rs
@@ -6,13 +6,23 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use env_logger::{Builder, Env};
+use env_logger::{Builder, Env, Target};
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, json};
 
-/// Sets up the process's logger. `RUST_LOG` filters; the default level is `info`.
+use crate::output::{self, Output};
+
+/// Sets up the process's logger, which writes to standard output and never blocks. `RUST_LOG`
+/// filters; the default level is `info`.
 pub fn init(host: Arc<str>) {
-    Builder::from_env(Env::default().default_filter_or("info,tarpc=warn"))
+    let mut builder = Builder::from_env(Env::default().default_filter_or("info,tarpc=warn"));
+    match Output::start() {
+        Ok(output) => {
+            builder.target(Target::Pipe(Box::new(output)));
+        }
+        Err(err) => eprintln!("logs go to standard error: {err}"),
+    }
+    builder
         .format(move |out, record| {
             let mut fields = Fields(Map::new());
             if record.key_values().visit(&mut fields).is_err() {
@@ -34,6 +44,11 @@
         .init();
 }
 
+/// Waits a short time until the lines so far are written.
+pub fn finish() {
+    output::finish();
+}
+
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -24,6 +24,7 @@
 };
 use crate::{
     node::Node,
+    observe::LineKind,
     peers::{Crash, Event, Position, Report},
     ports::Topic,
 };
@@ -46,6 +47,40 @@
     Release(ReleaseEnd),
 }
 
+impl End {
+    fn is_done(&self) -> bool {
+        matches!(
+            self,
+            Self::Grant(GrantEnd::Accepted) | Self::Release(ReleaseEnd::Done { .. })
+        )
+    }
+
+    /// The kind of the order and its outcome.
+    fn labels(&self) -> (&'static str, &'static str) {
+        match self {
+            Self::Grant(end) => (
+                "grant",
+                match end {
+                    GrantEnd::Accepted => "done",
+                    GrantEnd::Superseded => "superseded",
+                    GrantEnd::Refused => "refused",
+                    GrantEnd::Ended => "ended",
+                    GrantEnd::NotSent => "not_sent",
+                    GrantEnd::NoAnswer => "no_answer",
+                },
+            ),
+            Self::Release(end) => (
+                "release",
+                match end {
+                    ReleaseEnd::Done { .. } => "done",
+                    ReleaseEnd::Ended => "ended",
+                    ReleaseEnd::NoAnswer => "no_answer",
+                },
+            ),
+        }
+    }
+}
+
 /// Something that was under way and has ended.
 enum Ended {
     /// An order of a service.
@@ -288,8 +323,27 @@
 }
 
 async fn send(node: &Node, address: SocketAddr, order: &Order) -> End {
-    match order.kind {
+    let sent = node.clock.now();
+    let end = match order.kind {
         OrderKind::Grant { .. } => End::Grant(node.target_api.grant(address, order).await),
         OrderKind::Release => End::Release(node.target_api.release(address, order).await),
+    };
+    let (kind, outcome) = end.labels();
+    node.metrics.order(kind, outcome);
+    if !end.is_done()
+        && let Some(left_out) = node.may_log(LineKind::Order)
+    {
+        log::warn!(
+            order = kind,
+            outcome,
+            target_name = &*order.life.target,
+            born = order.life.born,
+            keys:% = order.range,
+            fence = order.fence,
+            took_ms = node.clock.now().saturating_sub(sent),
+            left_out;
+            "an order was not carried out as asked"
+        );
     }
+    end
 }
--- a/crates/router/src/control/tenure/plan.rs
+++ b/crates/router/src/control/tenure/plan.rs
@@ -155,7 +155,8 @@
         }
         homeless.extend(keeper.orphans(is_usable).iter().map(|it| it.range));
         let mut moves = Vec::new();
-        if !homeless.is_empty() {
+        let forced = !homeless.is_empty();
+        if forced {
             let loads = self.demand.loads(now);
             let kept = keeper.slices().filter(|it| is_usable(&it.owner));
             let pieces = kept.map(|it| Piece::from(&it)).collect();
@@ -173,7 +174,7 @@
             moves = relieve(pieces, &crew.usable, &loads);
         }
         for it in moves {
-            log::info!(keys:% = it.range, to = &*it.to.target; "keys move");
+            log::info!(keys:% = it.range, to = &*it.to.target, forced; "keys move");
             keeper.assign(it.range, &it.to, now);
         }
     }
--- a/crates/router/src/entry/connection.rs
+++ b/crates/router/src/entry/connection.rs
@@ -20,7 +20,7 @@
 use tokio::{net::TcpStream, sync::watch, task::JoinHandle};
 
 use super::{ahead::Ahead, answer, deliver, request::Call, server::Body};
-use crate::node::Node;
+use crate::{node::Node, observe};
 
 /// Time limits while no configuration states any: for the head of a request and for an idle
 /// connection.
@@ -116,13 +116,17 @@
             return response;
         }
         let (parts, body) = request.into_parts();
+        let id = parts.headers.get(&self.node.dialect.attempt).cloned();
         let call = match Call::new(&self.node, parts) {
             Ok(call) => call.with_body(body).await,
             Err(reason) => Err(reason),
         };
         match call {
             Ok(call) => run(&self.node, &call).await,
-            Err(reason) => answer::refuse(&self.node, &reason.into()),
+            Err(reason) => {
+                observe::unread(&self.node, id.as_ref(), reason);
+                answer::refuse(&self.node, &reason.into())
+            }
         }
     }
 
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -5,6 +5,7 @@
 use admission::RetryVerdict;
 use coordinator::Millis;
 use http::Response;
+use http_body::Body as _;
 use refusal::{Ran, Reason, Refusal};
 use routing::Repeat;
 
@@ -12,6 +13,7 @@
 use crate::{
     gateway::{self, GateId, Outcome, Patience, Task},
     node::Node,
+    observe::{Journey, Link},
     peers::HostInfo,
     state::TargetState,
 };
@@ -24,6 +26,17 @@
 
 /// Answers a request, or says why it is refused.
 pub async fn run(node: &Arc<Node>, call: &Call) -> Result<Response<Body>, Refusal> {
+    let mut journey = Journey::new(node, call);
+    let end = deliver(node, call, &mut journey).await;
+    journey.end(&end);
+    end
+}
+
+async fn deliver(
+    node: &Arc<Node>,
+    call: &Call,
+    journey: &mut Journey<'_>,
+) -> Result<Response<Body>, Refusal> {
     let mut task = call.task.clone();
     let mut delivery = Delivery {
         node,
@@ -45,13 +58,17 @@
             };
             return Err(delivery.refusal(reason));
         }
-        let outcome = delivery.attempt(&mut task).await;
+        let outcome = delivery.attempt(&mut task, journey).await;
         match outcome {
             Outcome::Answered(response) => return Ok(response),
             Outcome::NotRun { reason, offered } => {
                 delivery.not_run(&task, reason, offered).await?;
+                node.metrics.retry(reason);
+            }
+            Outcome::Unknown(reason) => {
+                delivery.unknown(reason)?;
+                node.metrics.retry(reason);
             }
-            Outcome::Unknown(reason) => delivery.unknown(reason)?,
         }
     }
 }
@@ -68,32 +85,45 @@
 }
 
 impl Delivery<'_> {
-    async fn attempt(&self, task: &mut Task) -> Outcome {
+    async fn attempt(&self, task: &mut Task, journey: &mut Journey<'_>) -> Outcome {
+        let node = self.node;
+        let began = node.clock.now();
         let Some((gate, patience)) = self.choose() else {
-            return Outcome::not_sent(Reason::NoOwner);
+            let outcome = Outcome::not_sent(Reason::NoOwner);
+            journey.step(None, &node.info.name, began, &outcome);
+            return outcome;
         };
         task.gate = gate;
         task.patience = patience;
-        match gateway_of(self.node, &task.gate) {
-            Some(host) if host.name != self.node.info.name => {
-                let outcome = self
-                    .node
-                    .forwarder
-                    .send(self.node, host.forward, task)
-                    .await;
-                if matches!(
-                    outcome,
-                    Outcome::NotRun {
-                        reason: Reason::OwnerUnreachable,
-                        ..
-                    } | Outcome::Unknown(Reason::GatewayLost)
-                ) {
-                    self.node.suspects.note(&host.name, self.node.clock.now());
-                }
-                outcome
+        let other = gateway_of(node, &task.gate).filter(|it| it.name != node.info.name);
+        let (outcome, host) = match &other {
+            Some(host) => (self.forward(task, host).await, &host.name),
+            None => (gateway::run(node, task).await, &node.info.name),
+        };
+        journey.step(Some(task.gate.clone()), host, began, &outcome);
+        outcome
+    }
+
+    async fn forward(&self, task: &Task, host: &HostInfo) -> Outcome {
+        let node = self.node;
+        let outcome = node.forwarder.send(node, host.forward, task).await;
+        match &outcome {
+            Outcome::Answered(answer) => {
+                let sent = u64::try_from(task.body.len()).unwrap_or(u64::MAX);
+                let received = answer.body().size_hint().lower();
+                let link = distance(node, &host.place);
+                node.metrics.hop(link, sent, received);
+            }
+            Outcome::NotRun {
+                reason: Reason::OwnerUnreachable,
+                ..
+            }
+            | Outcome::Unknown(Reason::GatewayLost) => {
+                node.suspects.note(&host.name, node.clock.now());
             }
-            _ => gateway::run(self.node, task).await,
+            Outcome::NotRun { .. } | Outcome::Unknown(_) => {}
         }
+        outcome
     }
 
     /// Decides what follows an attempt that did not run.
@@ -166,7 +196,7 @@
             let target = Arc::clone(&slice.owner.target);
             return Some((GateId::Target(target), Patience::Deadline));
         }
-        let mut places: Vec<(u8, Arc<str>)> = Vec::new();
+        let mut places: Vec<(Link, Arc<str>)> = Vec::new();
         for (_, entry) in node.targets().registered() {
             if entry.service != task.service || entry.state != TargetState::Ready {
                 continue;
@@ -190,15 +220,15 @@
     }
 }
 
-/// 0 for the same data centre, 1 for the same region, 2 for another one.
-fn distance(node: &Node, place: &Arc<str>) -> u8 {
+/// How far a data centre is from this host.
+fn distance(node: &Node, place: &Arc<str>) -> Link {
     let own = &node.settings.place;
     if place == own {
-        0
+        Link::Place
     } else if node.settings.region(place) == node.settings.region(own) {
-        1
+        Link::Region
     } else {
-        2
+        Link::Regions
     }
 }
 
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -37,6 +37,8 @@
     pub route: Arc<Route>,
     /// When it arrived.
     pub arrived: Millis,
+    /// Version of the configuration that decided its route.
+    pub version: u64,
     /// The task; its gate is chosen later.
     pub task: Task,
     /// Longest body that is accepted.
@@ -95,6 +97,7 @@
         Ok(Self {
             route: Arc::clone(route),
             arrived,
+            version: catalog.version(),
             body_limit: catalog.limits().body_bytes.min(BODY_BYTES),
             task,
         })
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -17,6 +17,7 @@
 
 pub use exchange::{Outcome, run};
 pub use forward::Forwarder;
+pub use gate::GateLoad;
 pub use gates::Gates;
 pub use poison::Poison;
 pub use serve::bind;
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 
 use admission::End;
 use bytes::Bytes;
-use coordinator::{Key, Phase};
+use coordinator::{Key, Phase, Stamp};
 use http::{HeaderValue, Request, Response, StatusCode, header, response::Parts};
 use http_body_util::{BodyExt, Full};
 use pool::{ConnectError, Freshness};
@@ -15,7 +15,11 @@
     gate::{Gate, Turn},
     poison,
 };
-use crate::{entry::end_to_end, node::Node};
+use crate::{
+    entry::end_to_end,
+    node::Node,
+    observe::{self, Attempt},
+};
 
 /// Longest wait for a new connection to a target.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
@@ -58,17 +62,31 @@
     if let Err(reason) = await_grant(node, &gate, task).await {
         return Outcome::not_sent(reason);
     }
+    let entered = node.clock.now();
     let turn = match gate.enter(node, task).await {
         Ok(turn) => turn,
-        Err(reason) => return Outcome::not_sent(reason),
+        Err(reason) => {
+            observe::turned_away(node, task, reason, gate.load());
+            return Outcome::not_sent(reason);
+        }
     };
     let slice = match owns(node, task) {
         Owns::Yes(slice) => slice,
         Owns::Soon => return Outcome::not_sent(Reason::NoOwner),
         Owns::No => return Outcome::not_sent(Reason::NotGateway),
     };
+    let began = node.clock.now();
     let outcome = exchange(node, &turn, task).await;
-    if let (Some(first), Some(key)) = (slice, task.key) {
+    let attempt = Attempt {
+        task,
+        target: (&turn.life.target, turn.life.born),
+        stamp: slice.map_or(0, |it| it.1),
+        waited_ms: began.saturating_sub(entered),
+        took_ms: node.clock.now().saturating_sub(began),
+        outcome: &outcome,
+    };
+    observe::attempt(node, &attempt);
+    if let (Some((first, _)), Some(key)) = (slice, task.key) {
         match &outcome {
             Outcome::NotRun {
                 reason: Reason::Fenced,
@@ -107,8 +125,8 @@
 /// Whether the target owns the key of a task.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Owns {
-    /// It does, as part of the slice that begins with this key.
-    Yes(Option<Key>),
+    /// It does, as part of the slice with this first key and stamp.
+    Yes(Option<(Key, Stamp)>),
     Soon,
     No,
 }
@@ -125,7 +143,7 @@
         return Owns::No;
     }
     match slice.phase {
-        Phase::Held => Owns::Yes(Some(slice.range.first)),
+        Phase::Held => Owns::Yes(Some((slice.range.first, slice.stamp))),
         Phase::Pending => Owns::Soon,
     }
 }
@@ -138,7 +156,7 @@
         tokio::pin!(changed);
         changed.as_mut().enable();
         match owns(node, task) {
-            Owns::Yes(Some(first)) if !gate.may_send(first) => {}
+            Owns::Yes(Some((first, _))) if !gate.may_send(first) => {}
             Owns::Yes(_) => return Ok(()),
             Owns::No => return Err(Reason::NotGateway),
             Owns::Soon => {}
--- a/crates/router/src/gateway/gate.rs
+++ b/crates/router/src/gateway/gate.rs
@@ -56,6 +56,19 @@
     lapsed: BTreeMap<Key, Millis>,
 }
 
+/// How busy a gate is.
+#[derive(Clone, Copy, Debug)]
+pub struct GateLoad {
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Requests that run.
+    pub running: usize,
+    /// Requests that may run.
+    pub slots: usize,
+    /// Milliseconds that a request can be expected to wait.
+    pub wait_ms: u64,
+}
+
 /// The place of a running request.
 pub(super) struct Turn {
     gate: Arc<Gate>,
@@ -166,6 +179,18 @@
         }
     }
 
+    /// How busy the gate is.
+    pub(super) fn load(&self) -> GateLoad {
+        let now = self.clock.now();
+        let inner = self.lock();
+        GateLoad {
+            waiting: inner.queue.waiting(),
+            running: inner.queue.running(),
+            slots: inner.members.iter().map(|it| it.slots(now)).sum(),
+            wait_ms: inner.queue.wait_estimate(now),
+        }
+    }
+
     /// Whether a request waits or runs.
     pub(super) fn is_busy(&self) -> bool {
         let inner = self.lock();
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -2,13 +2,15 @@
 //!
 //! A request enters through `entry`, which finds its route, service and target; `gateway` admits
 //! it to the target and carries it there. In the background `control` keeps this host's knowledge
-//! up to date and, on one host, coordinates who owns which keys. `state` holds what all parts read.
+//! up to date and, on one host, coordinates who owns which keys. `state` holds what all parts read,
+//! and `observe` writes what operators see.
 //! The platform is met through [`Store`], [`TargetApi`] and [`Dialect`] only.
 
 mod control;
 mod entry;
 mod gateway;
 mod node;
+mod observe;
 mod operators;
 mod peers;
 mod ports;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -21,6 +21,7 @@
 use crate::{
     entry::{Budgets, Suspects},
     gateway::{Forwarder, Gates, Poison},
+    observe::{LineKind, Lines, Metrics, ObservedStore},
     peers::{Event, Feed, HostInfo, Hosts, News, Position, Report},
     ports::{Dialect, Store, TargetApi},
     run::Ports,
@@ -41,6 +42,10 @@
     pub clock: BootClock,
     /// Headers and statuses.
     pub dialect: Dialect,
+    /// Counters and histograms.
+    pub metrics: Arc<Metrics>,
+    /// Budgets of log lines.
+    lines: Lines,
     /// The store.
     pub store: Arc<dyn Store>,
     /// Orders to targets.
@@ -91,12 +96,16 @@
             incarnation: rand::random(),
         };
         let clock = BootClock::new();
+        let metrics = Arc::new(Metrics::new());
+        let store = ObservedStore::new(ports.store, Arc::clone(&metrics), clock);
         Self {
             hosts: ArcSwap::from_pointee(Hosts::new([info.clone()])),
             info,
             clock,
             dialect: ports.dialect,
-            store: ports.store,
+            metrics,
+            lines: Lines::new(clock.now()),
+            store: Arc::new(store),
             target_api: ports.target_api,
             catalog: ArcSwapOption::empty(),
             gates: Gates::new(clock),
@@ -122,6 +131,16 @@
         }
     }
 
+    /// Asks for a log line: the number of lines of the kind that were left out before it, or `None`
+    /// if it is to be left out too.
+    pub fn may_log(&self, kind: LineKind) -> Option<u64> {
+        let left_out = self.lines.take(kind, self.clock.now());
+        if left_out.is_none() {
+            self.metrics.line_left_out(kind);
+        }
+        left_out
+    }
+
     /// The targets, for reading.
     pub fn targets(&self) -> RwLockReadGuard<'_, Targets> {
         self.targets.read().expect("no holder of the lock panics")
@@ -318,7 +337,16 @@
             }
             Event::Target(name, rev, entry) => {
                 let now = self.clock.now();
-                self.targets_mut().apply(name, *rev, entry.clone(), now)
+                let news = self.targets_mut().apply(name, *rev, entry.clone(), now);
+                if news && let Some(left_out) = self.may_log(LineKind::Belief) {
+                    let state = entry.as_ref().map(|it| it.state);
+                    let address = entry.as_ref().map(|it| it.address);
+                    log::info!(
+                        target_name = &**name, rev, state:?, address:?, left_out;
+                        "a target changed"
+                    );
+                }
+                news
             }
             Event::Slice(service, slice) => {
                 let mut tables = self.tables.write().expect("no holder of the lock panics");
@@ -330,6 +358,10 @@
                 if **self.hosts.load() == hosts {
                     return false;
                 }
+                if let Some(left_out) = self.may_log(LineKind::Belief) {
+                    let names: Vec<&str> = hosts.iter().map(|it| &*it.name).collect();
+                    log::info!(hosts = names.join(" "), left_out; "the hosts that serve changed");
+                }
                 self.hosts.store(Arc::new(hosts));
                 true
             }
--- /dev/null
+++ b/crates/router/src/observe.rs
@@ -0,0 +1,29 @@
+//! What operators see: log lines about decisions, and metrics.
+//!
+//! Lines of each kind have a budget, so that their number stays bounded under load; what is left
+//! out is counted in the next line of the kind and in a metric.
+
+mod attempt;
+mod journey;
+mod lines;
+mod metrics;
+mod store;
+
+pub use attempt::{Attempt, attempt, turned_away, unread};
+pub use journey::Journey;
+pub use lines::{LineKind, Lines};
+pub use metrics::{Link, Metrics};
+pub use store::ObservedStore;
+
+use crate::{gateway::Task, node::Node};
+
+/// The caller's id of a request; empty if it sent none that is text.
+pub fn id_of<'a>(node: &Node, task: &'a Task) -> &'a str {
+    let id = task.headers.get(&node.dialect.attempt);
+    id.and_then(|it| it.to_str().ok()).unwrap_or_default()
+}
+
+/// The key of a request as text; empty if its service has none.
+pub fn key_of(task: &Task) -> String {
+    task.key.map(|it| it.to_string()).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/router/src/observe/attempt.rs
@@ -0,0 +1,99 @@
+//! Lines about what a gateway did with a request.
+
+use http::HeaderValue;
+use refusal::Reason;
+
+use super::{LineKind, id_of, key_of};
+use crate::{
+    gateway::{GateLoad, Outcome, Task},
+    node::Node,
+};
+
+/// What happened at a target.
+pub struct Attempt<'a> {
+    /// The request.
+    pub task: &'a Task,
+    /// Name and start of the target.
+    pub target: (&'a str, u64),
+    /// Version of the owner that the request was sent by; 0 if its service has no keys.
+    pub stamp: u64,
+    /// Milliseconds that the request waited at the gate.
+    pub waited_ms: u64,
+    /// Milliseconds that the target took.
+    pub took_ms: u64,
+    /// How it ended.
+    pub outcome: &'a Outcome,
+}
+
+/// Records an attempt at a target.
+pub fn attempt(node: &Node, it: &Attempt<'_>) {
+    let task = it.task;
+    node.metrics.attempt(task, it.waited_ms, it.took_ms);
+    let (reason, status) = match it.outcome {
+        Outcome::Answered(answer) if answer.status().is_success() => return,
+        Outcome::Answered(answer) => ("", answer.status().as_u16()),
+        Outcome::NotRun { reason, .. } | Outcome::Unknown(reason) => (reason.label(), 0),
+    };
+    let Some(left_out) = node.may_log(LineKind::Attempt) else {
+        return;
+    };
+    log::warn!(
+        target: "attempt",
+        request = id_of(node, task),
+        reason,
+        status,
+        target_name = it.target.0,
+        born = it.target.1,
+        stamp = it.stamp,
+        service = &*task.service,
+        key = key_of(task),
+        knowledge_ms = node.age_ms(),
+        waited_ms = it.waited_ms,
+        took_ms = it.took_ms,
+        left_ms = task.end.saturating_sub(node.clock.now()),
+        left_out;
+        "a target did not serve a request"
+    );
+}
+
+/// Records that a gate let a request not pass.
+pub fn turned_away(node: &Node, task: &Task, reason: Reason, load: GateLoad) {
+    let Some(left_out) = node.may_log(LineKind::Attempt) else {
+        return;
+    };
+    log::warn!(
+        target: "attempt",
+        request = id_of(node, task),
+        reason = reason.label(),
+        gate = task.gate.to_string(),
+        key = key_of(task),
+        priority = task.priority,
+        waiting = load.waiting,
+        running = load.running,
+        slots = load.slots,
+        wait_ms = load.wait_ms,
+        knowledge_ms = node.age_ms(),
+        left_ms = task.end.saturating_sub(node.clock.now()),
+        left_out;
+        "a gate turned a request away"
+    );
+}
+
+/// Records a request that was refused before its route was known or its body was read.
+pub fn unread(node: &Node, id: Option<&HeaderValue>, reason: Reason) {
+    node.metrics.refusal(reason);
+    let Some(left_out) = node.may_log(LineKind::Refused) else {
+        return;
+    };
+    let version = node.catalog.load().as_ref().map_or(0, |it| it.version());
+    log::warn!(
+        target: "request",
+        request = id.and_then(|it| it.to_str().ok()).unwrap_or_default(),
+        outcome = LineKind::Refused.label(),
+        reason = reason.label(),
+        version,
+        knowledge_ms = node.age_ms(),
+        left_out;
+        "a request was refused before it was read"
+    );
+}
--- /dev/null
+++ b/crates/router/src/observe/journey.rs
@@ -0,0 +1,161 @@
+//! The way of one request, as its entry host saw it.
+
+use std::{fmt::Write, sync::Arc};
+
+use coordinator::Millis;
+use http::Response;
+use http_body_util::Full;
+use refusal::{Ran, Reason, Refusal};
+use smallvec::SmallVec;
+
+use super::{LineKind, id_of, key_of};
+use crate::{
+    entry::Call,
+    gateway::{GateId, Outcome},
+    node::Node,
+};
+
+/// Steps that a line shows; a request that waits for an owner may take many.
+const SHOWN: usize = 8;
+
+/// One attempt to have the request answered.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// The gate; none if no target is known.
+    pub gate: Option<GateId>,
+    /// The host of the gate.
+    pub host: Arc<str>,
+    /// Why it was not answered; none if it was.
+    pub reason: Option<Reason>,
+    /// When it began and ended.
+    pub times: (Millis, Millis),
+}
+
+/// The way of one request. A journey that is dropped before its end is one whose caller left.
+pub struct Journey<'a> {
+    node: &'a Node,
+    call: &'a Call,
+    steps: SmallVec<[Step; 2]>,
+    skipped: usize,
+    ended: bool,
+}
+
+impl<'a> Journey<'a> {
+    /// Begins the journey of a request.
+    pub fn new(node: &'a Node, call: &'a Call) -> Self {
+        Self {
+            node,
+            call,
+            steps: SmallVec::new(),
+            skipped: 0,
+            ended: false,
+        }
+    }
+
+    /// Adds an attempt that began at `began`.
+    pub fn step(&mut self, gate: Option<GateId>, host: &Arc<str>, began: Millis, end: &Outcome) {
+        if self.steps.len() >= SHOWN {
+            self.skipped += 1;
+            return;
+        }
+        self.steps.push(Step {
+            gate,
+            host: Arc::clone(host),
+            reason: match end {
+                Outcome::Answered(_) => None,
+                Outcome::NotRun { reason, .. } | Outcome::Unknown(reason) => Some(*reason),
+            },
+            times: (began, self.node.clock.now()),
+        });
+    }
+
+    /// Ends the journey with the final answer.
+    pub fn end(mut self, end: &Result<Response<Full<bytes::Bytes>>, Refusal>) {
+        self.ended = true;
+        let (kind, status, reason) = match end {
+            Ok(answer) if !answer.status().is_success() => (LineKind::Failed, answer.status(), ""),
+            Ok(answer) if self.node.clock.now() > self.call.task.objective => {
+                (LineKind::Late, answer.status(), "")
+            }
+            Ok(answer) => (LineKind::Served, answer.status(), ""),
+            Err(refusal) => {
+                let kind = match refusal.ran {
+                    Ran::NotRun => LineKind::Refused,
+                    Ran::Unknown => LineKind::Unknown,
+                };
+                self.node.metrics.refusal(refusal.reason);
+                let status = (self.node.dialect.status)(refusal);
+                (kind, status, refusal.reason.label())
+            }
+        };
+        self.log(kind, status.as_u16(), reason);
+    }
+
+    fn log(&self, kind: LineKind, status: u16, reason: &str) {
+        let (node, call) = (self.node, self.call);
+        let task = &call.task;
+        let now = node.clock.now();
+        let took_ms = now.saturating_sub(call.arrived);
+        node.metrics.request(task, kind, took_ms);
+        let Some(left_out) = node.may_log(kind) else {
+            return;
+        };
+        let level = match kind {
+            LineKind::Served | LineKind::Late | LineKind::Abandoned => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        let text = match kind {
+            LineKind::Served => "a request was answered",
+            LineKind::Late => "a request was answered late",
+            LineKind::Failed => "a target answered with a failure",
+            LineKind::Refused => "a request was refused",
+            LineKind::Abandoned => "a caller left before the answer",
+            _ => "it is not known whether a request ran",
+        };
+        log::log!(
+            target: "request",
+            level,
+            request = id_of(node, task),
+            outcome = kind.label(),
+            status,
+            reason,
+            route = &*task.route,
+            service = &*task.service,
+            key = key_of(task),
+            version = call.version,
+            knowledge_ms = node.age_ms(),
+            objective_ms = task.objective.saturating_sub(call.arrived),
+            limit_ms = task.end.saturating_sub(call.arrived),
+            took_ms,
+            steps = self.steps_text(),
+            left_out;
+            "{text}"
+        );
+    }
+
+    /// The steps with their milliseconds since the arrival.
+    fn steps_text(&self) -> String {
+        let mut text = String::new();
+        let since = |it: Millis| it.saturating_sub(self.call.arrived);
+        for step in &self.steps {
+            let gate = step.gate.as_ref().map(ToString::to_string);
+            let gate = gate.unwrap_or_default();
+            let reason = step.reason.map_or("answered", Reason::label);
+            let (from, to) = (since(step.times.0), since(step.times.1));
+            let host = &step.host;
+            write!(text, "{from}-{to} {gate} via {host}: {reason}; ").expect("a text can grow");
+        }
+        if self.skipped > 0 {
+            write!(text, "{} more", self.skipped).expect("a text can grow");
+        }
+        text
+    }
+}
+
+impl Drop for Journey<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log(LineKind::Abandoned, 0, "");
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/observe/lines/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+
+/// Guards against a log that grows with the load, and against lines that are left out without a
+/// trace.
+#[test]
+fn lines_are_bounded_and_counted() {
+    for kind in LineKind::ALL {
+        let pace = kind.pace();
+        let lines = Lines::new(0);
+        let (mut written, mut skipped) = (0, 0);
+        let seconds = 20;
+        for now in 0..seconds * 1_000 {
+            // Three requests a millisecond.
+            for _ in 0..3 {
+                if let Some(before) = lines.take(kind, now) {
+                    written += 1;
+                    skipped += before;
+                }
+            }
+        }
+        let most = pace.burst + seconds * 1_000 / pace.every_ms;
+        assert!(written <= most, "{kind:?}: {written} of at most {most}");
+        assert!(written + 1 >= most, "{kind:?}: {written} of {most}");
+        let later = seconds * 1_000 + pace.every_ms;
+        let last = lines.take(kind, later).expect("the budget has grown again");
+        assert_eq!(written + skipped + last, seconds * 3_000, "{kind:?}");
+    }
+}
--- /dev/null
+++ b/crates/router/src/observe/metrics.rs
@@ -0,0 +1,155 @@
+//! Counters and histograms of one host.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Histogram},
+};
+use process::Exporter;
+use refusal::Reason;
+
+use super::LineKind;
+use crate::gateway::Task;
+
+/// Upper ends of the buckets of times, in milliseconds: from the fastest targets to the longest
+/// deadlines of both users.
+const TIMES_MS: [f64; 14] = [
+    5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 300.0, 500.0, 800.0, 1_000.0, 2_000.0, 3_000.0, 4_000.0,
+    6_000.0,
+];
+
+/// How far apart two hosts are.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Link {
+    /// In the same data centre.
+    Place,
+    /// In two data centres of a region.
+    Region,
+    /// In two regions.
+    Regions,
+}
+
+impl Link {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Place => "place",
+            Self::Region => "region",
+            Self::Regions => "regions",
+        }
+    }
+}
+
+/// Counters and histograms of one host.
+pub struct Metrics {
+    exporter: Exporter,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    store_calls: Counter<u64>,
+    orders: Counter<u64>,
+    hop_bytes: Counter<u64>,
+    lines: Counter<u64>,
+    request_ms: Histogram<f64>,
+    wait_ms: Histogram<f64>,
+    target_ms: Histogram<f64>,
+}
+
+impl Metrics {
+    /// Creates metrics that have counted nothing.
+    pub fn new() -> Self {
+        let exporter = Exporter::new();
+        let meter = exporter.meter("router");
+        let counter = |name: &'static str| meter.u64_counter(name).build();
+        let times = |name: &'static str| {
+            let builder = meter.f64_histogram(name);
+            builder.with_boundaries(TIMES_MS.to_vec()).build()
+        };
+        Self {
+            requests: counter("requests"),
+            refusals: counter("refusals"),
+            retries: counter("retries"),
+            store_calls: counter("store_calls"),
+            orders: counter("orders"),
+            hop_bytes: counter("hop_body_bytes"),
+            lines: counter("log_lines_left_out"),
+            request_ms: times("request_ms"),
+            wait_ms: times("gate_wait_ms"),
+            target_ms: times("target_ms"),
+            exporter,
+        }
+    }
+
+    /// Counts a request that has ended.
+    pub fn request(&self, task: &Task, outcome: LineKind, took_ms: u64) {
+        let labels = [
+            KeyValue::new("route", task.route.clone()),
+            KeyValue::new("service", task.service.clone()),
+            KeyValue::new("outcome", outcome.label()),
+        ];
+        self.requests.add(1, &labels);
+        self.request_ms.record(millis(took_ms), &labels);
+    }
+
+    /// Counts a refusal.
+    pub fn refusal(&self, reason: Reason) {
+        let labels = [KeyValue::new("reason", reason.label())];
+        self.refusals.add(1, &labels);
+    }
+
+    /// Counts a further attempt, by the reason of the last one.
+    pub fn retry(&self, reason: Reason) {
+        let labels = [KeyValue::new("reason", reason.label())];
+        self.retries.add(1, &labels);
+    }
+
+    /// Records how long a request waited at a gate and how long its target took.
+    pub fn attempt(&self, task: &Task, waited_ms: u64, took_ms: u64) {
+        let labels = [KeyValue::new("service", task.service.clone())];
+        self.wait_ms.record(millis(waited_ms), &labels);
+        self.target_ms.record(millis(took_ms), &labels);
+    }
+
+    /// Counts a call of the store.
+    pub fn store_call(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// Counts an order to a target.
+    pub fn order(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.orders.add(1, &labels);
+    }
+
+    /// Counts the bodies of a request that was forwarded and of its answer.
+    pub fn hop(&self, link: Link, sent: u64, received: u64) {
+        for (direction, bytes) in [("sent", sent), ("received", received)] {
+            let labels = [
+                KeyValue::new("link", link.label()),
+                KeyValue::new("direction", direction),
+            ];
+            self.hop_bytes.add(bytes, &labels);
+        }
+    }
+
+    /// Counts a log line that was left out.
+    pub fn line_left_out(&self, kind: LineKind) {
+        let labels = [KeyValue::new("kind", kind.label())];
+        self.lines.add(1, &labels);
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn render(&self) -> Vec<u8> {
+        self.exporter.render()
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "far below 2^52 ms")]
+fn millis(ms: u64) -> f64 {
+    ms as f64
+}
--- /dev/null
+++ b/crates/router/src/observe/store.rs
@@ -0,0 +1,124 @@
+//! The store with its calls counted, and with a line when it is lost or back.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use coordinator::Millis;
+use futures::future::BoxFuture;
+use process::BootClock;
+
+use super::Metrics;
+use crate::ports::{Commit, OwnRows, Read, Store, StoreError, Topic, Transaction};
+
+/// The store with its calls counted.
+pub struct ObservedStore {
+    inner: Arc<dyn Store>,
+    metrics: Arc<Metrics>,
+    clock: BootClock,
+    /// When the first call failed since the last that did not.
+    lost: Mutex<Option<Millis>>,
+}
+
+impl ObservedStore {
+    /// Observes the calls of `inner`.
+    pub fn new(inner: Arc<dyn Store>, metrics: Arc<Metrics>, clock: BootClock) -> Self {
+        Self {
+            inner,
+            metrics,
+            clock,
+            lost: Mutex::default(),
+        }
+    }
+
+    fn note<T>(&self, kind: &'static str, end: &Result<T, StoreError>) {
+        let err = end.as_ref().err().copied();
+        self.metrics.store_call(kind, label(err));
+        self.on_end(kind, err);
+    }
+
+    fn on_end(&self, kind: &'static str, err: Option<StoreError>) {
+        let now = self.clock.now();
+        let mut lost = self.lost.lock().expect("no holder of the lock panics");
+        match err {
+            None | Some(StoreError::HistoryGone | StoreError::Limited) => {
+                if let Some(since) = lost.take() {
+                    let away_ms = now.saturating_sub(since);
+                    log::info!(call = kind, away_ms; "the store answers again");
+                }
+            }
+            Some(err @ (StoreError::NoAnswer | StoreError::Refused | StoreError::Malformed)) => {
+                if lost.is_none() {
+                    *lost = Some(now);
+                    log::warn!(call = kind, error = err.to_string(); "the store is lost");
+                }
+            }
+        }
+    }
+}
+
+impl Store for ObservedStore {
+    fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Read, StoreError>> {
+        Box::pin(async move {
+            let end = self.inner.read(topic).await;
+            self.note("read", &end);
+            end
+        })
+    }
+
+    fn watch(
+        &self,
+        topic: Topic,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Read, StoreError>> {
+        Box::pin(async move {
+            let end = self.inner.watch(topic, after, wait).await;
+            self.note("watch", &end);
+            end
+        })
+    }
+
+    fn own_rows(&self) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
+        Box::pin(async move {
+            let end = self.inner.own_rows().await;
+            self.note("own_rows", &end);
+            end
+        })
+    }
+
+    fn own_row<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<OwnRows, StoreError>> {
+        Box::pin(async move {
+            let end = self.inner.own_row(name).await;
+            self.note("own_row", &end);
+            end
+        })
+    }
+
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> BoxFuture<'a, Commit> {
+        Box::pin(async move {
+            let commit = self.inner.commit(transaction).await;
+            let (outcome, err) = match &commit {
+                Commit::Applied { .. } => ("ok", None),
+                Commit::Conflict(_) => ("conflict", None),
+                Commit::NotApplied(err) => (label(Some(*err)), Some(*err)),
+                Commit::Unknown => ("unknown", Some(StoreError::NoAnswer)),
+            };
+            self.metrics.store_call("commit", outcome);
+            self.on_end("commit", err);
+            commit
+        })
+    }
+}
+
+fn label(err: Option<StoreError>) -> &'static str {
+    match err {
+        None => "ok",
+        Some(StoreError::Refused) => "refused",
+        Some(StoreError::Limited) => "limited",
+        Some(StoreError::HistoryGone) => "history_gone",
+        Some(StoreError::NoAnswer) => "no_answer",
+        Some(StoreError::Malformed) => "malformed",
+    }
+}
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -1,4 +1,4 @@
-//! The port for readiness.
+//! The ports for readiness and metrics.
 
 use std::{convert::Infallible, sync::Arc};
 
@@ -39,6 +39,9 @@
 }
 
 fn answer(node: &Node, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() == "/metrics" {
+        return Response::new(Full::new(node.metrics.render().into()));
+    }
     let (status, text) = match request.uri().path() {
         "/healthz" => (StatusCode::OK, "running\n"),
         "/readyz" if node.is_ready() => (StatusCode::OK, "ready\n"),
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -48,10 +48,11 @@
     let ports = tokio::try_join!(
         TcpListener::bind(settings.callers),
         TcpListener::bind(settings.operators),
+        TcpListener::bind(settings.metrics),
         peers::bind(Arc::clone(&node)),
         gateway::bind(Arc::clone(&node)),
     );
-    let (callers, operators, peers, forwarded) = match ports {
+    let (callers, operators, metrics, peers, forwarded) = match ports {
         Ok(ports) => ports,
         Err(err) => {
             log::error!("an address cannot be bound: {err}");
@@ -60,7 +61,9 @@
     };
     log::info!(place = &*settings.place; "started");
     tokio::spawn(reload(settings.file.clone()));
-    tokio::spawn(operators::run(Arc::clone(&node), operators));
+    for listener in [operators, metrics] {
+        tokio::spawn(operators::run(Arc::clone(&node), listener));
+    }
     tokio::spawn(peers);
     tokio::spawn(forwarded);
     tokio::spawn(control::follow(Arc::clone(&node)));
--- a/crates/sassafrasd/src/metrics.rs
+++ b/crates/sassafrasd/src/metrics.rs
@@ -10,16 +10,14 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram, MeterProvider},
+    metrics::{Counter, Histogram},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use process::Exporter;
 use refusal::Reason;
 
 /// Counters and histograms, exported in the Prometheus text format.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
@@ -32,20 +30,11 @@
 
 impl Metrics {
     /// Creates the metrics of one process.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the exporter cannot be registered; its registry is new and empty.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()
-            .expect("a new registry accepts the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("sassafrasd");
+        let exporter = Exporter::new();
+        let meter = exporter.meter("sassafrasd");
         Self {
-            registry,
+            exporter,
             requests: meter.u64_counter("requests").build(),
             refusals: meter.u64_counter("refusals").build(),
             retries: meter.u64_counter("retries").build(),
@@ -54,7 +43,6 @@
             latency: meter.f64_histogram("request_ms").build(),
             refused: [const { AtomicU64::new(0) }; Reason::ALL.len()],
             retried: Mutex::default(),
-            _provider: provider,
         }
     }
 
@@ -119,10 +107,6 @@
 
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
-        let mut out = Vec::new();
-        if let Err(err) = TextEncoder::new().encode(&self.registry.gather(), &mut out) {
-            log::warn!("metrics cannot be encoded: {err}");
-        }
-        out
+        self.exporter.render()
     }
 }
--- a/crates/sassafrasd/src/mode.rs
+++ b/crates/sassafrasd/src/mode.rs
@@ -57,7 +57,7 @@
 
     /// Runs the host until it is asked to stop.
     pub fn run(self) -> ExitCode {
-        match self {
+        let code = match self {
             Self::Document(settings) => {
                 process::logging::init(Arc::clone(&settings.host));
                 block_on(Builder::new_multi_thread(), run(*settings))
@@ -72,7 +72,9 @@
                 // Such hosts have a part of one core.
                 block_on(Builder::new_current_thread(), router::run(*settings, ports))
             }
-        }
+        };
+        process::logging::finish();
+        code
     }
 }
 
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -1,6 +1,7 @@
 //! Child processes of a test.
 
 use std::{
+    fs::File,
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
@@ -67,7 +68,7 @@
     /// Panics if the binary is missing or cannot be started.
     #[must_use]
     pub fn binary(name: &str, args: &[&str], log: &Path) -> Self {
-        Self::spawn(&target_dir().join(name), args, log, Stdio::null())
+        Self::spawn(&target_dir().join(name), args, log, open(log).into())
     }
 
     /// Starts a stand-in and waits for its addresses.
@@ -98,7 +99,7 @@
         self.child.id()
     }
 
-    /// What the process has written to its standard error so far.
+    /// What the process has written so far.
     #[must_use]
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
@@ -138,16 +139,11 @@
     }
 
     fn spawn(program: &Path, args: &[&str], log: &Path, stdout: Stdio) -> Self {
-        let stderr = std::fs::OpenOptions::new()
-            .append(true)
-            .create(true)
-            .open(log)
-            .unwrap_or_else(|err| panic!("{} cannot be created: {err}", log.display()));
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
             .stdout(stdout)
-            .stderr(stderr)
+            .stderr(open(log))
             .kill_on_drop(true)
             .spawn()
             .unwrap_or_else(|err| {
@@ -169,6 +165,15 @@
     }
 }
 
+/// Opens a log for appending.
+fn open(log: &Path) -> File {
+    File::options()
+        .append(true)
+        .create(true)
+        .open(log)
+        .unwrap_or_else(|err| panic!("{} cannot be created: {err}", log.display()))
+}
+
 /// Runs a binary of the workspace to its end and returns its standard output.
 ///
 /// # Panics
