--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -214,10 +214,11 @@
 }
 
 fn request_of(address: SocketAddr, call: &Call) -> Request<Full<Bytes>> {
-    let mut builder = Request::builder()
-        .method(call.method)
-        .uri(&call.path)
-        .header(header::HOST, address.to_string());
+    let mut builder = Request::builder().method(call.method).uri(&call.path);
+    let named = call.headers.iter().any(|it| it.0 == header::HOST.as_str());
+    if !named {
+        builder = builder.header(header::HOST, address.to_string());
+    }
     for (name, value) in &call.headers {
         builder = builder.header(name, value);
     }
