Tell a take-over from an old table in refusals

That host refused with `not_gateway`, the reason of an old table, although its own table names it. Two tests drive both windows on purpose; they failed before and pass. Ruled out: a refusal that is not true (both said not_run, and nothing ran).

--- a/crates/sassafrasd/src/route.rs
+++ b/crates/sassafrasd/src/route.rs
@@ -44,6 +44,7 @@
     let mut pause_ms = OWNER_PAUSE_MS.0;
     let mut ran = Ran::NotRun;
     let mut link = Link::Unused;
+    let mut waited = None;
     let mut until = inbound.deadline;
     loop {
         let failure = match attempt(host, inbound, link).await {
@@ -54,8 +55,13 @@
         if last.ran == Ran::Unknown {
             ran = Ran::Unknown;
         }
-        // What the caller is told holds for all attempts.
-        let refusal = Refusal { ran, ..last };
+        // What the caller is told holds for all attempts. The end of the deadline says less than
+        // what the request waited for until then.
+        let told = match last.reason {
+            Reason::DeadlineBeforeStart => waited.unwrap_or(last),
+            _ => last,
+        };
+        let refusal = Refusal { ran, ..told };
         if failure.route == Route::BetweenRegions {
             if ran != Ran::NotRun || !has_moved(last.reason) {
                 return Err(refusal);
@@ -71,10 +77,12 @@
         if waits_for_owner(last.reason) {
             // Such an attempt ended without a target's work, so this spends no retry budget.
             host.metrics.retry(last.reason.label());
+            waited = Some(last);
             pause(host, pause_ms).await;
             pause_ms = (pause_ms * 2).min(OWNER_PAUSE_MS.1);
             continue;
         }
+        waited = None;
         let idempotency = match inbound.runs {
             Runs::Any => Idempotency::Idempotent,
             Runs::Once(_) => Idempotency::Once,
@@ -164,8 +172,9 @@
         route: Route::SameRegion,
     };
     if gateway == host.settings.host {
-        let gate = host.gate(&target).ok_or(Reason::NotGateway)?;
-        return dispatch::run(host, &gate, inbound).await.map_err(local);
+        let gate = host.gate(&target).ok_or(Reason::NoOwner)?;
+        let answer = dispatch::run(host, &gate, inbound).await;
+        return answer.map_err(|it| local(in_take_over(it)));
     }
     if inbound.hop == Hop::Second {
         return Err(Reason::NotGateway.into());
@@ -201,6 +210,18 @@
     })
 }
 
+/// A host that the table names as the gateway has no tenure during a take-over: the table is not
+/// old, but nobody can serve the key.
+fn in_take_over(refusal: Refusal) -> Refusal {
+    if refusal.reason != Reason::NotGateway {
+        return refusal;
+    }
+    Refusal {
+        ran: refusal.ran,
+        ..Reason::NoOwner.into()
+    }
+}
+
 fn owner_of(host: &Host, inbound: &Inbound) -> Result<(TargetId, Arc<str>), Reason> {
     let table = host.table();
     let service = &inbound.service().name;
--- a/crates/sassafrasd/src/route/tests.rs
+++ b/crates/sassafrasd/src/route/tests.rs
@@ -144,3 +144,33 @@
         assert!(refused.try_recv().is_err(), "the request crossed twice");
     }
 }
+
+/// A host whose table names it as the gateway of a target for which it does not act yet.
+fn without_tenure() -> Arc<Host> {
+    let host = fake::host(SocketAddr::from(([127, 0, 0, 1], 1)));
+    let id = TargetId {
+        service: Arc::from("workshop"),
+        target: Arc::from("w1"),
+    };
+    set_gateway(&host, &id, 1, "h1");
+    host
+}
+
+// Guards against a refusal that puts a take-over down to an old table.
+#[tokio::test]
+async fn take_over_that_has_not_ended_is_no_old_table() {
+    let host = without_tenure();
+    let refusal = run(&host, &fake::inbound(&host, 390)).await.err().unwrap();
+    assert_eq!(refusal, Reason::NoOwner.into());
+}
+
+// Guards against a refusal that names the end of the deadline but not what the request waited for,
+// when the host wakes up late.
+#[tokio::test]
+async fn late_wake_up_keeps_the_reason_of_the_wait() {
+    let host = without_tenure();
+    let inbound = fake::inbound(&host, 390);
+    let busy = async { std::thread::sleep(Duration::from_millis(500)) };
+    let (end, ()) = tokio::join!(run(&host, &inbound), busy);
+    assert_eq!(end.err().unwrap(), Reason::NoOwner.into());
+}
