Number only the coordinator's events

A host now goes back to the beginning of the term after its own reads and is sent everything again.

The line about hosts names those that came and left, not all of them.

--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -216,14 +216,23 @@
     }
 
     /// Learns of events and passes them on to other hosts.
+    ///
+    /// Only the coordinator numbers events. What another host read itself is not part of the
+    /// sequence, so that host goes back to its beginning and is sent everything again.
     pub fn announce(&self, events: Vec<Event>) {
+        let coordinates = self.is_coordinator();
         let mut news = false;
         for event in events {
             if !self.learn(&event) {
                 continue;
             }
-            self.feed().push(event);
             news = true;
+            if coordinates {
+                self.feed().push(event);
+            }
+        }
+        if news && !coordinates {
+            self.feed().forget();
         }
         if news {
             self.changed.notify_waiters();
@@ -355,12 +364,17 @@
             }
             Event::Hosts(list) => {
                 let hosts = Hosts::new(list.iter().cloned());
-                if **self.hosts.load() == hosts {
+                let known = self.hosts.load();
+                if **known == hosts {
                     return false;
                 }
                 if let Some(left_out) = self.may_log(LineKind::Belief) {
-                    let names: Vec<&str> = hosts.iter().map(|it| &*it.name).collect();
-                    log::info!(hosts = names.join(" "), left_out; "the hosts that serve changed");
+                    log::info!(
+                        came = hosts.names_beside(&known),
+                        left = known.names_beside(&hosts),
+                        left_out;
+                        "the hosts that serve changed"
+                    );
                 }
                 self.hosts.store(Arc::new(hosts));
                 true
@@ -373,3 +387,6 @@
         self.targets.write().expect("no holder of the lock panics")
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -56,6 +56,12 @@
         self.events.clear();
     }
 
+    /// Goes back to the beginning of the term, so that every event of it counts as new.
+    pub fn forget(&mut self) {
+        let term = self.position.term;
+        self.restart(Position { term, number: 0 });
+    }
+
     /// Adds an event.
     pub fn push(&mut self, event: Event) {
         self.position.number += 1;
--- a/crates/router/src/peers/hosts.rs
+++ b/crates/router/src/peers/hosts.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What a host tells about itself.
@@ -43,6 +44,18 @@
         self.list.values()
     }
 
+    /// Names of the hosts that `others` does not have, for logs.
+    #[must_use]
+    pub fn names_beside(&self, others: &Self) -> String {
+        let mut names: SmallVec<[&str; 8]> = SmallVec::new();
+        for name in self.list.keys() {
+            if !others.list.contains_key(name) {
+                names.push(name);
+            }
+        }
+        names.join(" ")
+    }
+
     /// The hosts of `place` in the order in which they are to act for `name`: rendezvous hashing,
     /// weighted by power, so that the loss of a host moves only what it acted for.
     #[must_use]
