--- a/crates/sassafrasctl/src/args.rs
+++ b/crates/sassafrasctl/src/args.rs
@@ -69,7 +69,7 @@
         return Ok(Invocation::Print(usage.text()));
     }
     check_options(usage, &matches)?;
-    if rest.len() != usage.arguments.len() {
+    if !usage.accepts(rest.len()) {
         return Err(invalid(format!(
             "{name} takes {} arguments but got {}; see sassafrasctl {name} --help",
             usage.arguments.len(),
@@ -141,6 +141,10 @@
             service: rest[0].clone(),
             key: rest[1].clone(),
         },
+        "explain" => Command::Explain {
+            request: rest[0].clone(),
+            files: rest[1..].to_vec(),
+        },
         _ => Command::Schema,
     })
 }
--- a/crates/sassafrasctl/src/command.rs
+++ b/crates/sassafrasctl/src/command.rs
@@ -19,6 +19,8 @@
     Status,
     /// Looks up the owner of a key.
     Owner { service: String, key: String },
+    /// Explains a request from the hosts' logs.
+    Explain { request: String, files: Vec<String> },
     /// Prints the JSON Schema of documents.
     Schema,
 }
--- a/crates/sassafrasctl/src/commands.rs
+++ b/crates/sassafrasctl/src/commands.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod check;
 mod diff;
+mod explain;
 mod history;
 mod owner;
 mod schema;
@@ -28,6 +29,7 @@
         Command::History { limit } => history::run(&context, limit).await,
         Command::Status => status::run(&context).await,
         Command::Owner { service, key } => owner::run(&context, &service, &key).await,
+        Command::Explain { request, files } => explain::run(&request, &files),
         Command::Schema => Ok(schema::run()),
     }
 }
--- a/crates/sassafrasctl/src/failure.rs
+++ b/crates/sassafrasctl/src/failure.rs
@@ -33,6 +33,8 @@
     Unreachable(String),
     /// there is no version {version}
     NoVersion { version: u64 },
+    /// no line of the logs has the request {request}
+    NoRequest { request: String },
     /// version {version} is applied, but not in force everywhere yet
     Lagging { version: u64, hosts: Vec<Lagging> },
     /// the store's answer was lost: change {change} may have become version {version}, or still may
@@ -55,6 +57,7 @@
             Self::Arguments(_)
             | Self::File { .. }
             | Self::Document { .. }
+            | Self::NoRequest { .. }
             | Self::NoVersion { .. } => 1,
             Self::Conflict { .. } => 2,
             Self::Unreachable(_) => 3,
--- a/crates/sassafrasctl/src/help.rs
+++ b/crates/sassafrasctl/src/help.rs
@@ -18,7 +18,7 @@
 }
 
 /// All commands in the order of the help.
-pub(crate) const USAGES: [Usage; 8] = [
+pub(crate) const USAGES: [Usage; 9] = [
     Usage {
         name: "check",
         arguments: &["FILE"],
@@ -98,6 +98,17 @@
   --host IP:PORT   operators' address of a host to ask instead of the membership
                    list, for times when the platform is down; may be repeated",
     },
+    Usage {
+        name: "explain",
+        arguments: &["ID", "FILE..."],
+        options: &[],
+        summary: "explain how a request ended, from logs",
+        details:
+            "Prints the lines of the request ID from the logs of all hosts in the order of time,
+then what the hosts on its way, and the coordinator about its targets, came to
+believe from 5 s before it. FILE may be - for standard input; text that a log
+collector puts before a line is skipped. Needs no platform.",
+    },
     Usage {
         name: "schema",
         arguments: &[],
@@ -132,6 +143,15 @@
         USAGES.iter().find(|it| it.name == name)
     }
 
+    /// Whether the command takes this number of arguments; a last one with dots may be repeated.
+    pub(crate) fn accepts(&self, count: usize) -> bool {
+        let most = match self.arguments.last() {
+            Some(last) if last.ends_with("...") => usize::MAX,
+            _ => self.arguments.len(),
+        };
+        (self.arguments.len()..=most).contains(&count)
+    }
+
     /// The help of the command.
     pub(crate) fn text(&self) -> String {
         let arguments = self.arguments.join(" ");
--- a/crates/sassafrasctl/src/main.rs
+++ b/crates/sassafrasctl/src/main.rs
@@ -1,12 +1,14 @@
 //! The operators' command-line client.
 //!
 //! Operators control a deployment through its document only: this client validates documents,
-//! applies them with compare-and-swap, and reads what the hosts report. See `--help`.
+//! applies them with compare-and-swap, reads what the hosts report, and explains requests from
+//! the hosts' logs. See `--help`.
 
 mod args;
 mod command;
 mod commands;
 mod context;
+mod explain;
 mod failure;
 mod help;
 mod hosts;
--- a/crates/sassafrasctl/src/report.rs
+++ b/crates/sassafrasctl/src/report.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 
 use crate::{
+    explain::Explanation,
     status::{Owner, Summary},
     store::Stored,
 };
@@ -38,6 +39,8 @@
     Status(Summary),
     /// The owner of a key.
     Owner(Owner),
+    /// What the logs say of a request.
+    Explain(Explanation),
     /// The JSON Schema.
     Schema { schema: String },
 }
--- a/crates/sassafrasctl/src/text.rs
+++ b/crates/sassafrasctl/src/text.rs
@@ -6,7 +6,10 @@
     time::{Duration, UNIX_EPOCH},
 };
 
+use serde_json::Value;
+
 use crate::{
+    explain::{Explanation, Line},
     failure::Failure,
     report::{Entry, Report},
     status::{GatewayStatus, HostLine, Owner, Quarantined, Summary},
@@ -39,6 +42,7 @@
         Report::History { versions } => history(versions),
         Report::Status(summary) => status(summary),
         Report::Owner(it) => owner(it),
+        Report::Explain(it) => explanation(it),
         Report::Schema { schema } => format!("{schema}\n"),
     }
 }
@@ -76,6 +80,7 @@
         ),
         Failure::Arguments(_)
         | Failure::File { .. }
+        | Failure::NoRequest { .. }
         | Failure::Unreachable(_)
         | Failure::NoVersion { .. } => {}
     }
@@ -211,6 +216,32 @@
     ])
 }
 
+fn explanation(it: &Explanation) -> String {
+    let mut text = String::from("the request\n");
+    for line in &it.own {
+        put(&mut text, &log_line(line));
+    }
+    text.push_str("\nbelieved on its way\n");
+    for line in &it.around {
+        put(&mut text, &log_line(line));
+    }
+    text
+}
+
+fn log_line(line: &Line) -> String {
+    let mut text = format!("{} {}: {}", line.time_ms, line.host, line.message);
+    for (name, value) in &line.fields {
+        let value = match value {
+            Value::String(value) => value.clone(),
+            value => value.to_string(),
+        };
+        if !value.is_empty() {
+            write!(text, " {name}={value}").expect("writing to a string succeeds");
+        }
+    }
+    text
+}
+
 fn lines<T: ToString>(items: &[T]) -> String {
     let mut text = String::new();
     for it in items {
