Send as many requests to a target that rejects some as to any other

Here a target has one gateway, and that never sends more than its slots, so the slots stayed empty while requests were refused unsent. Ruled out: too few slots (24 targets with 2 slots and 0.25 s a request serve 190/s, 100/s arrive) and slow moves of hot keys (5 to 10 moves a second meanwhile).

--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -107,10 +107,12 @@
             (End::Answered, Some(admission::Outcome::Failed))
         }
         Outcome::Answered(_) => (End::Answered, Some(admission::Outcome::Answered)),
+        // The gate never sends more than the target's slots, so a request that is rejected all the
+        // same is no reason to send less: slots would stay empty.
         Outcome::NotRun {
             reason: Reason::TargetShed,
             ..
-        } => (End::Shed, Some(admission::Outcome::Shed)),
+        } => (End::Cancelled, Some(admission::Outcome::Shed)),
         Outcome::NotRun {
             reason: Reason::TargetUnreachable,
             ..
