--- a/crates/coordinator/src/keeper.rs
+++ b/crates/coordinator/src/keeper.rs
@@ -9,9 +9,10 @@
 mod entry;
 mod lost_orders;
 mod order;
+mod rows;
+mod silence;
 
 use std::{
-    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
@@ -21,6 +22,7 @@
     entry::{Earlier, Entry},
     lost_orders::LostOrders,
     order::Sent,
+    silence::{PROBE_MS, Silence},
 };
 use crate::{Key, KeyRange, Life, Millis, Phase, Slice, SliceRow, Stamp};
 
@@ -28,18 +30,6 @@
 /// the grant arrived.
 const REFUSED_MS: u64 = 100;
 
-/// Interval at which a silent target is asked whether it answers again.
-const PROBE_MS: u64 = 1_000;
-
-/// A target that has not answered.
-#[derive(Clone, Copy, Debug)]
-struct Silence {
-    /// When its first grant without an answer was sent.
-    since: Millis,
-    /// When it may be asked whether it answers again.
-    probe_at: Millis,
-}
-
 /// Bits of a stamp that count within a term.
 const STAMP_BITS: u32 = 24;
 
@@ -374,67 +364,6 @@
         entries.filter(|it| it.recorded).map(Entry::slice).collect()
     }
 
-    /// Whether a target waits for the store to name it as an owner.
-    #[must_use]
-    pub fn needs_commit(&self) -> bool {
-        self.entries.values().any(|it| !it.recorded)
-    }
-
-    /// The rows to write so that the store matches this state, and the names of rows to remove: at
-    /// most `limit` together.
-    ///
-    /// They are taken in an order in which the store always names everyone who may hold a key, even
-    /// if only the first of them are written: new rows, then changed ones, those that cover fewer
-    /// keys than before last, then removals. Of rows that cover the same key, the newest counts.
-    #[must_use]
-    pub fn rows_to_write(&self, limit: usize) -> (Vec<SliceRow>, Vec<String>) {
-        let mut wanted = BTreeMap::new();
-        for entry in self.entries.values() {
-            let row = entry.row(&self.service);
-            wanted.insert(row.name(), row);
-        }
-        let mut puts = Vec::new();
-        for (name, row) in &wanted {
-            let turn = match self.stored.get(name) {
-                None => Turn::New,
-                Some(old) if same(old, row) => continue,
-                Some(old) if old.range.last > row.range.last => Turn::Shrinks,
-                Some(_) => Turn::Changes,
-            };
-            puts.push((turn, row.clone()));
-        }
-        puts.sort_by_key(|(turn, row)| (*turn, Reverse(row.stamp), Reverse(row.range.first)));
-        let all = puts.len() <= limit;
-        puts.truncate(limit);
-        let puts: Vec<SliceRow> = puts.into_iter().map(|it| it.1).collect();
-        let mut removes = Vec::new();
-        // A row goes only after those that replace it.
-        if all {
-            let room = limit - puts.len();
-            let gone = self.stored.keys().filter(|it| !wanted.contains_key(*it));
-            removes = gone.take(room).cloned().collect();
-        }
-        (puts, removes)
-    }
-
-    /// Notes that the store has taken these rows.
-    pub fn on_commit(&mut self, puts: Vec<SliceRow>, removes: &[String]) {
-        for name in removes {
-            self.stored.remove(name);
-        }
-        for row in puts {
-            for entry in self.entries.values_mut() {
-                let inside = entry.range.intersection(row.range) == Some(entry.range);
-                if inside && !entry.recorded && entry.owner == row.owner && entry.stamp == row.stamp
-                {
-                    entry.recorded = true;
-                    self.changed.insert(entry.range.first);
-                }
-            }
-            self.stored.insert(row.name(), row);
-        }
-    }
-
     /// A life has ended, so that it holds nothing any more.
     fn on_ended(&mut self, life: &Life, now: Millis) {
         for entry in self.entries.values_mut() {
@@ -442,33 +371,6 @@
         }
     }
 
-    /// Asks silent targets that own nothing whether they answer again: a release of what a target
-    /// does not hold changes nothing.
-    fn probe(&mut self, orders: &mut Vec<Order>, now: Millis) {
-        for (target, silence) in &mut self.silent {
-            let owns = self.entries.values().any(|it| it.owner.target == *target);
-            let Some(&born) = self.lives.get(target) else {
-                continue;
-            };
-            if owns || now < silence.probe_at {
-                continue;
-            }
-            silence.probe_at = now + PROBE_MS;
-            let id = OrderId(self.next_order);
-            self.next_order += 1;
-            orders.push(Order {
-                id,
-                life: Life {
-                    target: Arc::clone(target),
-                    born,
-                },
-                range: KeyRange::new(0, 0),
-                fence: 0,
-                kind: OrderKind::Release,
-            });
-        }
-    }
-
     fn next_stamp(&mut self) -> Stamp {
         self.stamp += 1;
         self.stamp
@@ -515,19 +417,3 @@
         gaps
     }
 }
-
-/// When a row is written.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Turn {
-    /// The store has no row of this name.
-    New,
-    /// The row replaces one that covers no more keys.
-    Changes,
-    /// The row replaces one that covers more keys.
-    Shrinks,
-}
-
-/// Whether two rows tell a later coordinator the same.
-fn same(a: &SliceRow, b: &SliceRow) -> bool {
-    a.range == b.range && a.owner == b.owner && a.earlier == b.earlier
-}
--- /dev/null
+++ b/crates/router/src/accept.rs
@@ -0,0 +1,26 @@
+//! Accepting connections.
+
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+
+/// Pause after a failed accept, for example when all file descriptors are in use.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// The next connection of `whose`, whose small messages are sent at once.
+pub async fn accept(listener: &TcpListener, whose: &str) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Err(err) = stream.set_nodelay(true) {
+                    log::debug!("TCP_NODELAY cannot be set: {err}");
+                }
+                return stream;
+            }
+            Err(err) => {
+                log::warn!("a connection of {whose} cannot be accepted: {err}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -11,5 +11,5 @@
 
 pub use budgets::Budgets;
 pub use request::{Call, end_to_end};
-pub use server::{ACCEPT_PAUSE, serve};
+pub use server::serve;
 pub use suspects::Suspects;
--- a/crates/router/src/entry/server.rs
+++ b/crates/router/src/entry/server.rs
@@ -7,10 +7,7 @@
 use tokio::{net::TcpListener, sync::watch, task::JoinSet};
 
 use super::connection;
-use crate::node::Node;
-
-/// Pause after a failed accept, for example when all file descriptors are in use.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+use crate::{accept::accept, node::Node};
 
 /// Body of an answer to a caller.
 pub type Body = Full<Bytes>;
@@ -27,24 +24,13 @@
     let mut connections = JoinSet::new();
     let mut stop = std::pin::pin!(stop);
     loop {
-        let accepted = tokio::select! {
+        let stream = tokio::select! {
             () = &mut stop => break,
-            accepted = listener.accept() => accepted,
+            stream = accept(&listener, "a caller") => stream,
             Some(_) = connections.join_next() => continue,
         };
-        match accepted {
-            Ok((stream, _)) => {
-                if let Err(err) = stream.set_nodelay(true) {
-                    log::debug!("TCP_NODELAY cannot be set: {err}");
-                }
-                let closing = closing.subscribe();
-                connections.spawn(connection::serve(Arc::clone(&node), stream, closing));
-            }
-            Err(err) => {
-                log::warn!("a connection of a caller cannot be accepted: {err}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let closing = closing.subscribe();
+        connections.spawn(connection::serve(Arc::clone(&node), stream, closing));
     }
     drop(listener);
     closing.send_replace(true);
--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{exchange, hop};
-use crate::{entry::ACCEPT_PAUSE, node::Node};
+use crate::{accept::accept, node::Node};
 
 /// Binds the port; resolves to the loop that serves it.
 ///
@@ -21,21 +21,12 @@
     let listener = TcpListener::bind(node.settings.forward).await?;
     Ok(async move {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => serve(&node, stream),
-                Err(err) => {
-                    log::warn!("a connection of a host cannot be accepted: {err}");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            serve(&node, accept(&listener, "a host").await);
         }
     })
 }
 
 fn serve(node: &Arc<Node>, stream: TcpStream) {
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!("TCP_NODELAY cannot be set: {err}");
-    }
     let node = Arc::clone(node);
     let service = service_fn(move |request| {
         let node = Arc::clone(&node);
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -6,6 +6,7 @@
 //! and `observe` writes what operators see.
 //! The platform is met through [`Store`], [`TargetApi`] and [`Dialect`] only.
 
+mod accept;
 mod control;
 mod entry;
 mod gateway;
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -9,19 +9,12 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
-use crate::{entry::ACCEPT_PAUSE, node::Node};
+use crate::{accept::accept, node::Node};
 
 /// Serves the operators' port for ever.
 pub async fn run(node: Arc<Node>, listener: TcpListener) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(err) => {
-                log::warn!("a connection of an operator cannot be accepted: {err}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener, "an operator").await;
         let node = Arc::clone(&node);
         tokio::spawn(async move {
             let service = service_fn(|request| {
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{Coordination, News, Report, client::MESSAGE_BYTES};
-use crate::{entry::ACCEPT_PAUSE, node::Node};
+use crate::{accept::accept, node::Node};
 
 /// Calls of one connection that are served at once.
 const CHANNEL_CALLS: usize = 4;
@@ -35,21 +35,12 @@
     let listener = TcpListener::bind(node.settings.peer).await?;
     Ok(async move {
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => serve(&node, stream),
-                Err(err) => {
-                    log::warn!("a connection of a host cannot be accepted: {err}");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            serve(&node, accept(&listener, "a host").await);
         }
     })
 }
 
 fn serve(node: &Arc<Node>, stream: TcpStream) {
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!("TCP_NODELAY cannot be set: {err}");
-    }
     let framed = LengthDelimitedCodec::builder()
         .max_frame_length(MESSAGE_BYTES)
         .new_framed(stream);
