--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -102,7 +102,14 @@
     if matches!(outcome, Outcome::Unknown(Reason::TargetLost)) {
         poison::confirm(node, &turn.pool, turn.life.clone(), task).await;
     }
-    let (end, health) = match &outcome {
+    let (end, health) = end_of(&outcome);
+    turn.end(end, health);
+    outcome
+}
+
+/// What an outcome tells the queue, and what it shows of the target's health.
+fn end_of(outcome: &Outcome) -> (End, Option<admission::Outcome>) {
+    match outcome {
         Outcome::Answered(answer) if answer.status().is_server_error() => {
             (End::Answered, Some(admission::Outcome::Failed))
         }
@@ -119,9 +126,7 @@
         }
         | Outcome::Unknown(Reason::TargetLost) => (End::Failed, Some(admission::Outcome::Failed)),
         Outcome::NotRun { .. } | Outcome::Unknown(_) => (End::Failed, None),
-    };
-    turn.end(end, health);
-    outcome
+    }
 }
 
 /// Whether the target owns the key of a task.
@@ -244,3 +249,6 @@
     }
     request
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/gateway/exchange/tests.rs
@@ -0,0 +1,73 @@
+use admission::{Limits, Offer, Queue, Ticket};
+
+use super::*;
+
+fn ticket(id: u64) -> Ticket {
+    Ticket {
+        id,
+        key: 0,
+        caller: 0,
+        priority: 0,
+        deadline: 60_000,
+    }
+}
+
+/// Guards against slots that stay empty because a target rejects requests that it has room for.
+#[test]
+fn rejected_requests_lower_no_limit() {
+    let limits = Limits {
+        slots: 2,
+        depth: 100,
+        caller_share: 100,
+    };
+    let mut queue = Queue::new(limits);
+    let rejected = Outcome::NotRun {
+        reason: Reason::TargetShed,
+        offered: true,
+    };
+    for id in 0..50 {
+        let now = id * 10;
+        assert_eq!(queue.offer(now, ticket(id)), Offer::Start, "request {id}");
+        let _ = queue.finish(now + 2, id, 2, end_of(&rejected).0);
+    }
+    for id in 50..52 {
+        assert_eq!(queue.offer(600, ticket(id)), Offer::Start, "request {id}");
+    }
+}
+
+/// Guards against targets that count as failing because they are full or do not hold a key.
+#[test]
+fn only_broken_targets_count_as_failing() {
+    struct Case {
+        reason: Reason,
+        failed: bool,
+    }
+    let cases = [
+        Case {
+            reason: Reason::TargetShed,
+            failed: false,
+        },
+        Case {
+            reason: Reason::Fenced,
+            failed: false,
+        },
+        Case {
+            reason: Reason::TargetUnreachable,
+            failed: true,
+        },
+    ];
+    for Case { reason, failed } in cases {
+        let outcome = Outcome::NotRun {
+            reason,
+            offered: true,
+        };
+        let health = end_of(&outcome).1;
+        assert_eq!(
+            health == Some(admission::Outcome::Failed),
+            failed,
+            "{reason:?}"
+        );
+    }
+    let lost = end_of(&Outcome::Unknown(Reason::TargetLost));
+    assert_eq!(lost, (End::Failed, Some(admission::Outcome::Failed)));
+}
