Read the configuration in each interval while nobody coordinates

A host without a coordinator now reads the configuration, one row, every 500 ms, and the long lists only when they are old. The test of a host without a coordinator failed first (0 reads in 1.3 s).

--- a/crates/router/src/control/catch_up.rs
+++ b/crates/router/src/control/catch_up.rs
@@ -1,4 +1,4 @@
-//! Reads the store directly while no news comes from the coordinator.
+//! Reads the store directly while no news comes from a coordinator.
 
 use std::{sync::Arc, time::Duration};
 
@@ -13,17 +13,25 @@
 const INTERVAL: Duration = Duration::from_millis(500);
 
 /// Keeps this host's knowledge from growing old, for ever.
+///
+/// Without a coordinator every host reads the configuration, which is one row, in each interval, so
+/// that it is in force in time. The targets and the owners of keys are long lists, which all hosts
+/// would fetch over the same links, so they are read only when they are old.
 pub async fn catch_up(node: Arc<Node>) {
     loop {
         tokio::time::sleep(INTERVAL).await;
-        if node.age_ms() < STALE_MS {
+        let stale = node.age_ms() >= STALE_MS;
+        if !stale && node.coordinator().is_some() {
             continue;
         }
         let sent = node.clock.now();
-        let catalog = read_once(&node, Topic::Catalog).await;
-        if catalog && read_once(&node, Topic::Targets).await {
+        let read = read_once(&node, Topic::Catalog).await;
+        if stale && read && read_once(&node, Topic::Targets).await {
             follow::read_slices(&node).await;
             node.set_in_step(sent);
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/fake.rs
@@ -0,0 +1,107 @@
+//! Hosts for tests, without a platform.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use coordinator::{GrantEnd, Order, ReleaseEnd};
+use futures::future::{BoxFuture, ready};
+use http::{HeaderName, StatusCode};
+
+use crate::{
+    node::Node,
+    ports::{Commit, Dialect, OwnRows, Read, Store, StoreError, TargetApi, Topic, Transaction},
+    run::Ports,
+    settings::Settings,
+};
+
+/// A platform that has nothing, and counts the reads of the configuration.
+#[derive(Default)]
+pub struct Nowhere {
+    reads: AtomicU32,
+}
+
+impl Nowhere {
+    /// Reads of the configuration so far.
+    pub fn reads(&self) -> u32 {
+        self.reads.load(Ordering::Relaxed)
+    }
+}
+
+impl Store for Nowhere {
+    fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Read, StoreError>> {
+        if topic == Topic::Catalog {
+            self.reads.fetch_add(1, Ordering::Relaxed);
+        }
+        Box::pin(ready(Ok(Read::default())))
+    }
+
+    fn watch(&self, _: Topic, _: u64, _: Duration) -> BoxFuture<'_, Result<Read, StoreError>> {
+        Box::pin(ready(Err(StoreError::NoAnswer)))
+    }
+
+    fn own_rows(&self) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
+        Box::pin(ready(Ok(OwnRows::default())))
+    }
+
+    fn own_row<'a>(&'a self, _: &'a str) -> BoxFuture<'a, Result<OwnRows, StoreError>> {
+        Box::pin(ready(Err(StoreError::NoAnswer)))
+    }
+
+    fn commit<'a>(&'a self, _: &'a Transaction) -> BoxFuture<'a, Commit> {
+        Box::pin(ready(Commit::Unknown))
+    }
+}
+
+impl TargetApi for Nowhere {
+    fn grant<'a>(&'a self, _: SocketAddr, _: &'a Order) -> BoxFuture<'a, GrantEnd> {
+        Box::pin(ready(GrantEnd::NoAnswer))
+    }
+
+    fn release<'a>(&'a self, _: SocketAddr, _: &'a Order) -> BoxFuture<'a, ReleaseEnd> {
+        Box::pin(ready(ReleaseEnd::NoAnswer))
+    }
+}
+
+/// A host of a platform that has nothing.
+pub fn node(name: &str, port: u16) -> Node {
+    node_at(name, port, Arc::default())
+}
+
+/// A host of this platform.
+pub fn node_at(name: &str, port: u16, platform: Arc<Nowhere>) -> Node {
+    let text = format!(
+        "{{host: {name}, place: catania, regions: {{catania: sicilia-est}}, \
+         callers: 127.0.0.1:{}, operators: 127.0.0.1:{}, metrics: 127.0.0.1:{}, \
+         peer: 127.0.0.1:{port}, forward: 127.0.0.1:{}, cores: 1.0, \
+         store: {{address: 127.0.0.1:1}}, bounds: {{max_hold_s: 10, drain_s: 2, grace_s: 6, \
+         retry_ratio: 0.2, retry_slack: 60, retry_window_s: 10}}}}",
+        port + 1,
+        port + 2,
+        port + 3,
+        port + 4,
+    );
+    let header = HeaderName::from_static;
+    let ports = Ports {
+        store: Arc::clone(&platform) as Arc<dyn Store>,
+        target_api: platform,
+        dialect: Dialect {
+            attempt: header("attempt"),
+            deadline: header("deadline"),
+            target: header("target"),
+            key: header("key"),
+            not_run: header("not-run"),
+            seal: header("seal"),
+            status: |_| StatusCode::SERVICE_UNAVAILABLE,
+        },
+    };
+    Node::new(
+        Settings::parse("f", &text).expect("the settings are good"),
+        ports,
+    )
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -9,6 +9,8 @@
 mod accept;
 mod control;
 mod entry;
+#[cfg(test)]
+mod fake;
 mod gateway;
 mod node;
 mod observe;
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -1,83 +1,11 @@
-use std::{net::SocketAddr, time::Duration};
-
-use coordinator::{GrantEnd, Order, ReleaseEnd};
-use futures::future::{BoxFuture, ready};
-use http::{HeaderName, StatusCode};
 use tokio::sync::mpsc;
 
 use super::*;
 use crate::{
-    ports::{Commit, OwnRows, Read, StoreError, Topic, Transaction},
+    fake::node,
     state::{TargetEntry, TargetState},
 };
 
-/// A platform that does nothing.
-struct Nowhere;
-
-impl Store for Nowhere {
-    fn read(&self, _: Topic) -> BoxFuture<'_, Result<Read, StoreError>> {
-        Box::pin(ready(Err(StoreError::NoAnswer)))
-    }
-
-    fn watch(&self, _: Topic, _: u64, _: Duration) -> BoxFuture<'_, Result<Read, StoreError>> {
-        Box::pin(ready(Err(StoreError::NoAnswer)))
-    }
-
-    fn own_rows(&self) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
-        Box::pin(ready(Err(StoreError::NoAnswer)))
-    }
-
-    fn own_row<'a>(&'a self, _: &'a str) -> BoxFuture<'a, Result<OwnRows, StoreError>> {
-        Box::pin(ready(Err(StoreError::NoAnswer)))
-    }
-
-    fn commit<'a>(&'a self, _: &'a Transaction) -> BoxFuture<'a, Commit> {
-        Box::pin(ready(Commit::Unknown))
-    }
-}
-
-impl TargetApi for Nowhere {
-    fn grant<'a>(&'a self, _: SocketAddr, _: &'a Order) -> BoxFuture<'a, GrantEnd> {
-        Box::pin(ready(GrantEnd::NoAnswer))
-    }
-
-    fn release<'a>(&'a self, _: SocketAddr, _: &'a Order) -> BoxFuture<'a, ReleaseEnd> {
-        Box::pin(ready(ReleaseEnd::NoAnswer))
-    }
-}
-
-fn node(name: &str, port: u16) -> Node {
-    let text = format!(
-        "{{host: {name}, place: catania, regions: {{catania: sicilia-est}}, \
-         callers: 127.0.0.1:{}, operators: 127.0.0.1:{}, metrics: 127.0.0.1:{}, \
-         peer: 127.0.0.1:{port}, forward: 127.0.0.1:{}, cores: 1.0, \
-         store: {{address: 127.0.0.1:1}}, bounds: {{max_hold_s: 10, drain_s: 2, grace_s: 6, \
-         retry_ratio: 0.2, retry_slack: 60, retry_window_s: 10}}}}",
-        port + 1,
-        port + 2,
-        port + 3,
-        port + 4,
-    );
-    let header = HeaderName::from_static;
-    let ports = Ports {
-        store: Arc::new(Nowhere),
-        target_api: Arc::new(Nowhere),
-        dialect: Dialect {
-            attempt: header("attempt"),
-            deadline: header("deadline"),
-            target: header("target"),
-            key: header("key"),
-            not_run: header("not-run"),
-            seal: header("seal"),
-            status: |_| StatusCode::SERVICE_UNAVAILABLE,
-        },
-    };
-    Node::new(
-        Settings::parse("f", &text).expect("the settings are good"),
-        ports,
-    )
-}
-
 fn target(name: &str, rev: u64) -> Event {
     let entry = TargetEntry {
         service: "archive".into(),
