--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -45,7 +45,7 @@
     let mut resigned = None;
     loop {
         if let Some(address) = node.coordinator()
-            && address != node.settings.peer
+            && address != node.info.peer
         {
             log::info!(coordinator:% = address; "following the coordinator");
             resigned = resigned.max(stay(&node, address).await);
@@ -72,7 +72,7 @@
 async fn seek(node: &Arc<Node>, resigned: Option<u64>) -> Option<Found> {
     let sight = Sight::read(node).await?;
     if let Some(row) = sight.holder()
-        && row.peer != node.settings.peer
+        && row.peer != node.info.peer
         && resigned < Some(row.term)
     {
         return Some(Found::Coordinator(row.peer));
--- a/crates/router/src/control/lease.rs
+++ b/crates/router/src/control/lease.rs
@@ -76,7 +76,7 @@
     pub async fn take(&self, node: &Node) -> Option<Lease> {
         let row = LeaseRow {
             host: node.settings.host.clone(),
-            peer: node.settings.peer,
+            peer: node.info.peer,
             term: self.row.as_ref().map_or(1, |it| it.term + 1),
             until: self.clock.earliest(node.clock.now()) + LEASE_MS,
             nonce: rand::random(),
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -212,7 +212,7 @@
             number: 0,
         });
         self.node.set_inbox(Some(inbox));
-        self.node.set_coordinator(Some(self.node.settings.peer));
+        self.node.set_coordinator(Some(self.node.info.peer));
         let mut events = Vec::new();
         for row in &self.rows {
             events.push(Event::Slice(Arc::clone(&row.service), row.slice()));
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -90,8 +90,8 @@
         let info = HostInfo {
             name: Arc::clone(&settings.host),
             place: Arc::clone(&settings.place),
-            peer: settings.peer,
-            forward: settings.forward,
+            peer: settings.advertised.peer.unwrap_or(settings.peer),
+            forward: settings.advertised.forward.unwrap_or(settings.forward),
             power: settings.power(),
             incarnation: rand::random(),
         };
@@ -268,7 +268,7 @@
             (feed.position(), feed.after(known))
         };
         let complete = events.is_none();
-        let own = self.settings.peer;
+        let own = self.info.peer;
         let coordinator = if self.is_coordinator() {
             Some(own)
         } else {
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -29,6 +29,9 @@
     pub peer: SocketAddr,
     /// Address for requests that other hosts forward.
     pub forward: SocketAddr,
+    /// Addresses that other hosts are told in place of `peer` and `forward`.
+    #[serde(default)]
+    pub advertised: Advertised,
     /// Its share of a core.
     pub cores: f64,
     /// The platform's store.
@@ -37,6 +40,15 @@
     pub bounds: Bounds,
 }
 
+/// Addresses under which other hosts reach this one, where they differ from those that it binds.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+pub struct Advertised {
+    /// In place of `peer`.
+    pub peer: Option<SocketAddr>,
+    /// In place of `forward`.
+    pub forward: Option<SocketAddr>,
+}
+
 /// How the store may be used.
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct StoreSettings {
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -122,6 +122,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells the process that its settings changed (SIGHUP).
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Stops the process without ending it (SIGSTOP).
     pub fn freeze(&self) {
         self.signal(Signal::STOP);
--- a/crates/testkit/src/proxy/relay.rs
+++ b/crates/testkit/src/proxy/relay.rs
@@ -76,8 +76,12 @@
                 self.rules.mark_unchanged();
                 passed = 0;
             }
+            let (number, direction) = (self.number, self.direction);
+            // The sender lives as long as the connection, so the wait cannot fail.
+            let flows = |rule: &Rule| rule.mode_for(number, direction) != Mode::Hold;
+            let _ = self.rules.wait_for(flows).await;
             let rule = *self.rules.borrow();
-            let mode = rule.mode_for(self.number, self.direction);
+            let mode = rule.mode_for(number, direction);
             match mode {
                 Mode::Partition | Mode::Silent => continue,
                 Mode::Delay => {
@@ -91,7 +95,7 @@
                     let left = usize::try_from(rule.after_bytes.saturating_sub(passed));
                     bytes.truncate(left.unwrap_or(usize::MAX));
                 }
-                Mode::Pass | Mode::Cut | Mode::Refuse => {}
+                Mode::Pass | Mode::Cut | Mode::Refuse | Mode::Hold => {}
             }
             passed += bytes.len() as u64;
             writer.write_all(&bytes).await.map_err(|_| Broken)?;
@@ -107,7 +111,7 @@
             .rules
             .wait_for(|rule| {
                 let mode = rule.mode_for(number, direction);
-                !matches!(mode, Mode::Partition | Mode::Silent)
+                !matches!(mode, Mode::Partition | Mode::Silent | Mode::Hold)
             })
             .await;
         writer.shutdown().await.map_err(|_| Broken)
--- a/crates/testkit/src/proxy/rule.rs
+++ b/crates/testkit/src/proxy/rule.rs
@@ -13,6 +13,8 @@
     Cut,
     /// They are swallowed and the connection stays open.
     Silent,
+    /// They are held up and arrive when the rule ends.
+    Hold,
     /// As with a broken link: open connections are silent and the listening port closes.
     Partition,
     /// The listening port closes, so that new connections are refused; open ones pass.
@@ -73,6 +75,17 @@
 }
 
 impl Rule {
+    /// Creates a rule without limits.
+    #[must_use]
+    pub fn new(mode: Mode, direction: Direction, scope: Scope) -> Self {
+        Self {
+            mode,
+            direction,
+            scope,
+            ..Self::default()
+        }
+    }
+
     /// The mode for the bytes of connection `number` in `direction`.
     #[must_use]
     pub(super) fn mode_for(&self, number: u64, direction: Direction) -> Mode {
--- a/crates/testkit/src/proxy/server.rs
+++ b/crates/testkit/src/proxy/server.rs
@@ -114,31 +114,32 @@
         let body = read_body(body).await?;
         match (&head.method, head.uri.path()) {
             (&Method::PUT, "/control") => {
-                let mut rule: Rule = match serde_json::from_slice(&body) {
+                let rule: Rule = match serde_json::from_slice(&body) {
                     Ok(it) => it,
                     Err(err) => {
                         let error = json!({"error": err.to_string()});
                         return Ok(json_answer(StatusCode::BAD_REQUEST, &error));
                     }
                 };
-                rule.boundary = self.shared.connections.load(Ordering::SeqCst);
-                self.shared.rules.send_replace(rule);
-                // The caller may rely on the state of the port once it has the answer. The sender
-                // is a field of `self`, so the wait cannot fail.
-                let open = !rule.refuses();
-                let _ = self
-                    .shared
-                    .listening
-                    .subscribe()
-                    .wait_for(|it| *it == open)
-                    .await;
-                Ok(json_answer(StatusCode::OK, &rule))
+                Ok(json_answer(StatusCode::OK, &self.set(rule).await))
             }
             (&Method::GET, "/counts") => Ok(json_answer(StatusCode::OK, &self.counts())),
             _ => Ok(empty(StatusCode::NOT_FOUND)),
         }
     }
 
+    /// Puts a rule in force. It holds for all bytes that are read after the return.
+    pub async fn set(&self, mut rule: Rule) -> Rule {
+        rule.boundary = self.shared.connections.load(Ordering::SeqCst);
+        self.shared.rules.send_replace(rule);
+        // The caller may rely on the state of the port. The sender is a field of `self`, so the
+        // wait cannot fail.
+        let open = !rule.refuses();
+        let mut listening = self.shared.listening.subscribe();
+        let _ = listening.wait_for(|it| *it == open).await;
+        rule
+    }
+
     fn counts(&self) -> ProxyCounts {
         let shared = &self.shared;
         ProxyCounts {
