Tell a gateway's own answer from that of a target

The log of h1 says "answered", status 400, but no back end of the soak gives 400: the gateway's port answered it, because it could not read the request, and the entry host took it for the target's answer. A caller may not be told a failure that no target gave.

The gateway now says that the request did not run, which it did not, and logs it. The test fails on the old code (an answer with 400).

What made the request unreadable was the soak's fault: connections that had lost bytes went on, since their cut lasted too short to be seen by all of them, so the headers of HTTP/2 were out of step, which TCP rules out.

The soak also truncates and repeats answers of back ends, and gives the address of a back end that has ended to one of another service.

--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -3,13 +3,14 @@
 use std::{convert::Infallible, io, sync::Arc};
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Collected, Full};
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use refusal::Reason;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{exchange, hop};
+use super::{Outcome, exchange, hop};
 use crate::{accept::accept, node::Node};
 
 /// Binds the port; resolves to the loop that serves it.
@@ -45,17 +46,17 @@
 
 async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
-    let bad = |text: &'static str| {
-        let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-        *response.status_mut() = StatusCode::BAD_REQUEST;
-        response
-    };
-    let Ok(body) = body.collect().await else {
-        return bad("the body was cut\n");
+    let body = body.collect().await.map(Collected::to_bytes).ok();
+    let request = body.map(|it| Request::from_parts(parts, it));
+    let outcome = match request.and_then(|it| hop::task_of(it, node.clock.now())) {
+        Some(task) => exchange::run(node, &task).await,
+        None => {
+            log::warn!("a request on the port for other hosts is cut or is none of a host");
+            Outcome::not_sent(Reason::NotGateway)
+        }
     };
-    let request = Request::from_parts(parts, body.to_bytes());
-    match hop::task_of(request, node.clock.now()) {
-        Some(task) => hop::response_of(exchange::run(node, &task).await),
-        None => bad("this port is for requests of other hosts\n"),
-    }
+    hop::response_of(outcome)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/testkit/src/proxy/relay.rs
+++ b/crates/testkit/src/proxy/relay.rs
@@ -95,6 +95,7 @@
                     let left = usize::try_from(rule.after_bytes.saturating_sub(passed));
                     bytes.truncate(left.unwrap_or(usize::MAX));
                 }
+                Mode::Repeat => bytes = [&*bytes, &*bytes].concat().into(),
                 Mode::Pass | Mode::Cut | Mode::Refuse | Mode::Hold => {}
             }
             passed += bytes.len() as u64;
--- a/crates/testkit/src/proxy/rule.rs
+++ b/crates/testkit/src/proxy/rule.rs
@@ -25,6 +25,8 @@
     Throttle,
     /// The connection closes after a number of bytes.
     Truncate,
+    /// They arrive twice.
+    Repeat,
 }
 
 /// Which bytes a rule affects.
--- a/crates/testkit/src/proxy/server.rs
+++ b/crates/testkit/src/proxy/server.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
 };
@@ -51,7 +51,7 @@
 #[derive(Clone)]
 pub struct ProxyServer {
     shared: Arc<Shared>,
-    to: SocketAddr,
+    to: Arc<Mutex<SocketAddr>>,
 }
 
 impl ProxyServer {
@@ -60,10 +60,19 @@
     pub fn new(to: SocketAddr) -> Self {
         Self {
             shared: Arc::default(),
-            to,
+            to: Arc::new(Mutex::new(to)),
         }
     }
 
+    /// Connects to another address from now on.
+    ///
+    /// # Panics
+    ///
+    /// Does not panic: no holder of the lock does.
+    pub fn retarget(&self, to: SocketAddr) {
+        *self.to.lock().expect("no holder of the lock panics") = to;
+    }
+
     /// Accepts and relays connections for ever.
     ///
     /// # Panics
@@ -153,7 +162,8 @@
     async fn connection(self, near: TcpStream) {
         let number = self.shared.connections.fetch_add(1, Ordering::SeqCst);
         self.shared.open.fetch_add(1, Ordering::SeqCst);
-        if let Ok(far) = TcpStream::connect(self.to).await {
+        let to = *self.to.lock().expect("no holder of the lock panics");
+        if let Ok(far) = TcpStream::connect(to).await {
             relay(&self.shared, number, near, far).await;
         }
         self.shared.open.fetch_sub(1, Ordering::SeqCst);
