--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -48,12 +48,12 @@
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map(Collected::to_bytes).ok();
     let request = body.map(|it| Request::from_parts(parts, it));
-    let outcome = match request.and_then(|it| hop::task_of(it, node.clock.now())) {
-        Some(task) => exchange::run(node, &task).await,
-        None => {
-            log::warn!("a request on the port for other hosts is cut or is none of a host");
-            Outcome::not_sent(Reason::NotGateway)
-        }
+    let task = request.and_then(|it| hop::task_of(it, node.clock.now()));
+    let outcome = if let Some(task) = task {
+        exchange::run(node, &task).await
+    } else {
+        log::warn!("a request on the port for other hosts is cut or is none of a host");
+        Outcome::not_sent(Reason::NotGateway)
     };
     hop::response_of(outcome)
 }
