Keep saved retries within the ratio of any window

Each host earns 0.15 of its requests and kept what it earned for 10 s, so that after a quiet time a window holds up to 0.3: what was saved before it and what is earned in it.

A budget is now kept for a third of the window, so that 0.15 of 13.3 s is 0.2 of 10 s. The test spends all that it may after 20 quiet seconds: 60 of 40 allowed before, at most 40 after.

--- a/crates/admission/src/retry_budget.rs
+++ b/crates/admission/src/retry_budget.rs
@@ -2,12 +2,11 @@
 
 use crate::Millis;
 
-/// Length of the sliding window; unused allowance older than this is lost, so that a quiet hour
-/// does not pay for a burst of retries.
+/// Usual length of the sliding window; unused allowance older than this is lost, so that a quiet
+/// hour does not pay for a burst of retries.
 const WINDOW_MS: u64 = 10_000;
 /// Parts of the window.
 const PARTS: usize = 10;
-const PART_MS: u64 = WINDOW_MS / PARTS as u64;
 /// Retries that are allowed before enough requests were seen to earn them.
 const FLOOR_RETRIES: u64 = 2;
 /// Cost of one retry; each request earns `percent` of it.
@@ -32,6 +31,7 @@
     percent: u64,
     debt: u64,
     tokens: u64,
+    part_ms: u64,
     parts: [u64; PARTS],
     current: u64,
 }
@@ -49,11 +49,21 @@
             percent: percent.into(),
             debt: floor,
             tokens: floor,
+            part_ms: WINDOW_MS / PARTS as u64,
             parts: [0; PARTS],
             current: 0,
         }
     }
 
+    /// Loses unused allowance after `window_ms` milliseconds.
+    #[must_use]
+    pub fn with_window(self, window_ms: Millis) -> Self {
+        Self {
+            part_ms: (window_ms / PARTS as u64).max(1),
+            ..self
+        }
+    }
+
     /// Counts a first attempt.
     pub fn on_request(&mut self, now: Millis) {
         self.advance(now);
@@ -78,7 +88,7 @@
 
     /// Drops the parts that have left the window.
     fn advance(&mut self, now: Millis) {
-        let part = now / PART_MS;
+        let part = now / self.part_ms;
         if part <= self.current {
             return;
         }
--- a/crates/router/src/entry/budgets.rs
+++ b/crates/router/src/entry/budgets.rs
@@ -15,20 +15,25 @@
 /// Budgets of repeated requests, one for each service.
 pub struct Budgets {
     percent: u32,
-    budgets: Mutex<HashMap<Arc<str>, RetryBudget>>,
+    saved_ms: Millis,
+    services: Mutex<HashMap<Arc<str>, RetryBudget>>,
 }
 
 impl Budgets {
-    /// Creates budgets of `ratio` repeated requests for each request.
+    /// Creates budgets of `ratio` repeated requests for each request in any `window` seconds.
+    ///
+    /// A budget can be saved up before a window and spent in it beside what is earned in it, so it
+    /// is kept only for the part of a window that both together stay within the ratio.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
-        reason = "the settings bound the ratio"
+        reason = "the settings bound the ratio and the window"
     )]
-    pub fn new(ratio: f64) -> Self {
+    pub fn new(ratio: f64, window: f64) -> Self {
         Self {
             percent: (ratio * USED * 100.0).clamp(0.0, 1_000.0) as u32,
-            budgets: Mutex::default(),
+            saved_ms: (window * 1_000.0 * (1.0 / USED - 1.0)) as Millis,
+            services: Mutex::default(),
         }
     }
 
@@ -43,10 +48,13 @@
     }
 
     fn with<T>(&self, service: &Arc<str>, then: impl FnOnce(&mut RetryBudget) -> T) -> T {
-        let mut budgets = self.budgets.lock().expect("no holder of the lock panics");
-        let budget = budgets
+        let mut services = self.services.lock().expect("no holder of the lock panics");
+        let budget = services
             .entry(Arc::clone(service))
-            .or_insert_with(|| RetryBudget::new(self.percent));
+            .or_insert_with(|| RetryBudget::new(self.percent).with_window(self.saved_ms));
         then(budget)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -110,7 +110,7 @@
             catalog: ArcSwapOption::empty(),
             gates: Gates::new(clock),
             forwarder: Forwarder::new(),
-            budgets: Budgets::new(settings.bounds.retry_ratio),
+            budgets: Budgets::new(settings.bounds.retry_ratio, settings.bounds.retry_window),
             suspects: Suspects::default(),
             poison: Poison::default(),
             changed: Notify::new(),
