Leave the lease to strong hosts

A host now waits up to 1.2 s more before it takes a free lease, by how much stronger the strongest known host is; hosts of equal power wait as before.

--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -39,6 +39,13 @@
 const NEAR_FACTOR: u32 = 8;
 const WEAK_WAIT_MS: u64 = 20;
 
+/// Further wait for each time by which the strongest host is stronger: hosts notice within a second
+/// of each other that the lease is free, and a host with a fifth of the power waits that long.
+const DEFER_MS: u64 = 250;
+
+/// Longest such wait.
+const LONGEST_DEFER_MS: u64 = 1_200;
+
 /// Follows the coordinator, or coordinates, for ever.
 pub async fn follow(node: Arc<Node>) {
     // The last term whose coordinator is known to act no more.
@@ -82,11 +89,20 @@
     }
     let rtt_ms = u32::try_from(sight.clock.received - sight.clock.sent).unwrap_or(u32::MAX);
     let far = Duration::from_millis(rtt_ms.saturating_mul(NEAR_FACTOR).min(400).into());
-    let weak = Duration::from_millis(WEAK_WAIT_MS * 1_000 / u64::from(node.info.power.max(50)));
+    let hosts = node.hosts.load_full();
+    let weak = weak_wait(node.info.power, hosts.iter().map(|it| it.power));
     tokio::time::sleep(far + weak).await;
     sight.take(node).await.map(Found::Lease)
 }
 
+/// How long a host with this power leaves the lease to others with those powers.
+fn weak_wait(own: u32, others: impl Iterator<Item = u32>) -> Duration {
+    let own = u64::from(own.max(50));
+    let strongest = others.map(u64::from).max().unwrap_or(own).max(own);
+    let defer = DEFER_MS * (strongest - own) / own;
+    Duration::from_millis(WEAK_WAIT_MS * 1_000 / own + defer.min(LONGEST_DEFER_MS))
+}
+
 async fn coordinate(node: &Arc<Node>, lease: Lease) {
     let own = loop {
         match node.store.own_rows().await {
@@ -251,3 +267,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
