Tell hosts apart in news, and gather news

News now names the host that came or left; the whole list goes out only with everything else. The coordinator gathers news for 1 ms for each host, 80 ms at most, but no longer than the report may wait.

--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -283,7 +283,7 @@
             }
         }
         let now = self.node.clock.now();
-        events.extend(self.roster.changed(now).map(Event::Hosts));
+        events.extend(self.roster.changes(now));
         if !events.is_empty() {
             self.node.announce(events);
         }
--- a/crates/router/src/control/tenure/roster.rs
+++ b/crates/router/src/control/tenure/roster.rs
@@ -4,7 +4,7 @@
 
 use coordinator::Millis;
 
-use crate::peers::{HostInfo, Hosts, Report};
+use crate::peers::{Event, HostInfo, Hosts, Report};
 
 /// Silence after which a host counts as lost. Hosts report twice a second.
 const SILENT_MS: u64 = 1_400;
@@ -13,7 +13,7 @@
 pub struct Roster {
     own: HostInfo,
     seen: BTreeMap<Arc<str>, (HostInfo, Millis)>,
-    published: Vec<HostInfo>,
+    published: BTreeMap<Arc<str>, HostInfo>,
 }
 
 impl Roster {
@@ -23,7 +23,7 @@
         Self {
             own,
             seen: seen.map(|it| (Arc::clone(&it.name), (it, now))).collect(),
-            published: Vec::new(),
+            published: BTreeMap::new(),
         }
     }
 
@@ -38,16 +38,27 @@
         }
     }
 
-    /// The hosts that serve, if they changed since the last call.
-    pub fn changed(&mut self, now: Millis) -> Option<Vec<HostInfo>> {
+    /// How the hosts that serve changed since the last call.
+    pub fn changes(&mut self, now: Millis) -> Vec<Event> {
         self.seen.retain(|_, it| now < it.1 + SILENT_MS);
         let name = Arc::clone(&self.own.name);
         self.seen.insert(name, (self.own.clone(), now));
-        let hosts: Vec<HostInfo> = self.seen.values().map(|it| it.0.clone()).collect();
-        if hosts == self.published {
-            return None;
+        let mut events = Vec::new();
+        let seen = &self.seen;
+        self.published.retain(|name, _| {
+            let serves = seen.contains_key(name);
+            if !serves {
+                events.push(Event::HostLeft(Arc::clone(name)));
+            }
+            serves
+        });
+        for (name, (host, _)) in &self.seen {
+            if self.published.get(name) == Some(host) {
+                continue;
+            }
+            self.published.insert(Arc::clone(name), host.clone());
+            events.push(Event::HostCame(host.clone()));
         }
-        self.published.clone_from(&hosts);
-        Some(hosts)
+        events
     }
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -362,27 +362,31 @@
                 let table = tables.entry(Arc::clone(service)).or_default();
                 table.merge(slice)
             }
-            Event::Hosts(list) => {
-                let hosts = Hosts::new(list.iter().cloned());
-                let known = self.hosts.load();
-                if **known == hosts {
-                    return false;
-                }
-                if let Some(left_out) = self.may_log(LineKind::Belief) {
-                    log::info!(
-                        came = hosts.names_beside(&known),
-                        left = known.names_beside(&hosts),
-                        left_out;
-                        "the hosts that serve changed"
-                    );
-                }
-                self.hosts.store(Arc::new(hosts));
-                true
-            }
+            Event::Hosts(list) => self.set_hosts(Hosts::new(list.iter().cloned())),
+            Event::HostCame(host) => self.set_hosts(self.hosts.load().with(host.clone())),
+            Event::HostLeft(name) => self.set_hosts(self.hosts.load().without(name)),
             Event::Poison(fingerprint) => self.poison.quarantine(*fingerprint, self.clock.now()),
         }
     }
 
+    /// Replaces the hosts that serve; returns whether they changed.
+    fn set_hosts(&self, hosts: Hosts) -> bool {
+        let known = self.hosts.load();
+        if **known == hosts {
+            return false;
+        }
+        if let Some(left_out) = self.may_log(LineKind::Belief) {
+            log::info!(
+                came = hosts.names_beside(&known),
+                left = known.names_beside(&hosts),
+                left_out;
+                "the hosts that serve changed"
+            );
+        }
+        self.hosts.store(Arc::new(hosts));
+        true
+    }
+
     fn targets_mut(&self) -> RwLockWriteGuard<'_, Targets> {
         self.targets.write().expect("no holder of the lock panics")
     }
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -68,3 +68,37 @@
     sync(&follower, &neighbour);
     assert!(neighbour.targets().get("c").is_some());
 }
+
+fn host(name: &str) -> HostInfo {
+    HostInfo {
+        name: name.into(),
+        ..node(name, 7_400).info
+    }
+}
+
+/// Guards against a host that comes or leaves and stays unknown, and against one that is kept by a
+/// host which is sent everything.
+#[test]
+fn hosts_come_and_leave() {
+    let (coordinator, follower) = pair();
+    let names = |it: &Node| {
+        let hosts = it.hosts.load();
+        hosts
+            .iter()
+            .map(|it| it.name.to_string())
+            .collect::<Vec<_>>()
+    };
+    coordinator.announce(vec![
+        Event::HostCame(host("h7")),
+        Event::HostCame(host("h8")),
+    ]);
+    coordinator.announce(vec![Event::HostLeft("h7".into())]);
+    assert_eq!(sync(&coordinator, &follower), 3);
+    assert_eq!(names(&coordinator), ["h1", "h8"]);
+    assert!(names(&follower).contains(&"h8".to_owned()));
+    assert!(!names(&follower).contains(&"h7".to_owned()));
+    let late = node("h9", 7_500);
+    late.announce(vec![Event::HostCame(host("h7"))]);
+    sync(&coordinator, &late);
+    assert_eq!(names(&late), names(&coordinator));
+}
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -23,6 +23,10 @@
     Slice(Arc<str>, Slice),
     /// All hosts that serve.
     Hosts(Vec<HostInfo>),
+    /// A host that serves from now on.
+    HostCame(HostInfo),
+    /// The name of a host that serves no more.
+    HostLeft(Arc<str>),
     /// The fingerprint of a request that crashes targets.
     Poison(u64),
 }
--- a/crates/router/src/peers/hosts.rs
+++ b/crates/router/src/peers/hosts.rs
@@ -39,6 +39,22 @@
         }
     }
 
+    /// The list with another host, or with news of one that it has.
+    #[must_use]
+    pub fn with(&self, host: HostInfo) -> Self {
+        let mut list = self.list.clone();
+        list.insert(Arc::clone(&host.name), host);
+        Self { list }
+    }
+
+    /// The list without a host.
+    #[must_use]
+    pub fn without(&self, name: &str) -> Self {
+        let mut list = self.list.clone();
+        list.remove(name);
+        Self { list }
+    }
+
     /// All hosts in name order.
     pub fn iter(&self) -> impl Iterator<Item = &HostInfo> {
         self.list.values()
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -18,6 +18,13 @@
 /// Calls of one connection that are served at once.
 const CHANNEL_CALLS: usize = 4;
 
+/// Time for each host that the coordinator waits after the first news before it answers, so that it
+/// answers at most 1,000 calls a second however much changes.
+const GATHER: Duration = Duration::from_millis(1);
+
+/// Longest such time.
+const LONGEST_GATHER: Duration = Duration::from_millis(80);
+
 /// Longest time for which a call waits for news.
 const LONGEST_WAIT: Duration = Duration::from_secs(2);
 
@@ -67,8 +74,14 @@
             let changed = node.fed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let urgent = node.needs_heir() || !node.is_coordinator();
-            if urgent || node.feed().position() != known {
+            if node.needs_heir() || !node.is_coordinator() {
+                break;
+            }
+            if node.feed().position() != known {
+                let hosts = u32::try_from(node.hosts.load().iter().count()).unwrap_or(u32::MAX);
+                let gather = GATHER.saturating_mul(hosts).min(LONGEST_GATHER);
+                let end = tokio::time::Instant::now() + gather;
+                tokio::time::sleep_until(end.min(until)).await;
                 break;
             }
             if tokio::time::timeout_at(until, changed).await.is_err() {
