--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -11,7 +11,7 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{Outcome, exchange, hop};
-use crate::{accept::accept, node::Node};
+use crate::{accept::accept, node::Node, observe::LineKind};
 
 /// Binds the port; resolves to the loop that serves it.
 ///
@@ -52,7 +52,9 @@
     let outcome = if let Some(task) = task {
         exchange::run(node, &task).await
     } else {
-        log::warn!("a request on the port for other hosts is cut or is none of a host");
+        if let Some(left_out) = node.may_log(LineKind::Attempt) {
+            log::warn!(left_out; "a request on the port for other hosts is cut or is none of a host");
+        }
         Outcome::not_sent(Reason::NotGateway)
     };
     hop::response_of(outcome)
