Let targets without grants give planned slices up at once

Since a planned move waits until requests of an earlier gateway have passed their deadline (2 s); a target that checks no grants then waits for its own last request's deadline as well, where it waited for both at once before, and a move that was asked for early in a tenure was dropped after 1.5 s and asked for again in the next round.

Only targets that check grants wait with the slice served, and the time in which a move may begin counts from the end of that wait.

--- a/crates/ownership/src/gateway.rs
+++ b/crates/ownership/src/gateway.rs
@@ -368,13 +368,21 @@
         if self.asked.is_empty() {
             return;
         }
-        self.asked.retain(|_, at| now < *at + MOVE_WAIT_MS);
-        // Until then, requests of an earlier gateway may be in flight.
-        if now < reign.start + with_drift(self.policy.deadline_ms) {
+        // Targets that check grants are released at once, but the commit waits until no request of an
+        // earlier gateway can be in flight. Others wait for that with the slice given up.
+        let ready = match self.policy.checks {
+            Checks::Grants => reign.start + with_drift(self.policy.deadline_ms),
+            Checks::Nothing => reign.start,
+        };
+        if now < ready {
             return;
         }
+        self.asked
+            .retain(|_, at| now < ready.max(*at) + MOVE_WAIT_MS);
         let read = self.read;
-        let begun = self.asked.extract_if(.., |_, at| read >= Some(*at));
+        let begun = self
+            .asked
+            .extract_if(.., |_, at| read >= Some(ready.max(*at)));
         self.released.extend(begun.map(|it| it.0));
     }
 
