Follow a grant that was under way by a long one when the store is away

Its logs: every key of a2 is refused by it from 3 s after its last grant on, those of a1 are not, and no order failed. When the store stops answering, all grants are renewed at once with the longest hold; the acceptance of an ordinary grant that was under way at that moment then set the next renewal to 1 s later, and the lease ended 0.7 s later.

Ruled out: orders without an answer (none is logged).

Such a grant is now renewed at once. The new test fails on the old code (no order after the acceptance).

--- a/crates/coordinator/src/keeper.rs
+++ b/crates/coordinator/src/keeper.rs
@@ -229,6 +229,7 @@
         }
         let renew_ms = self.bounds.renew_ms;
         let retry_ms = self.bounds.retry_ms;
+        let hold_ms = self.hold_ms;
         let mut superseded = Vec::new();
         for entry in self.entries.values_mut() {
             if entry.range.intersection(sent.range).is_none() {
@@ -254,7 +255,9 @@
             }
             match end {
                 GrantEnd::Accepted => {
-                    entry.renew_at = sent.at + renew_ms;
+                    // A grant that was under way when longer ones began is too short.
+                    let short = sent.hold_ms < hold_ms;
+                    entry.renew_at = if short { now } else { sent.at + renew_ms };
                     entry.handover = None;
                     if entry.phase == Phase::Pending {
                         entry.phase = Phase::Held;
--- /dev/null
+++ b/crates/coordinator/tests/bridge.rs
@@ -0,0 +1,46 @@
+//! Grants while the store does not answer.
+
+use std::sync::Arc;
+
+use coordinator::{Bounds, GrantEnd, Keeper, KeyRange, Life, Order, OrderKind};
+
+const BOUNDS: Bounds = Bounds {
+    hold_ms: 3_000,
+    max_hold_ms: 10_000,
+    renew_ms: 1_000,
+    retry_ms: 300,
+    drift_percent: 2,
+};
+
+fn hold_of(orders: &[Order]) -> Option<u64> {
+    match orders {
+        [order] => match order.kind {
+            OrderKind::Grant { hold_ms, .. } => Some(hold_ms),
+            OrderKind::Release => None,
+        },
+        _ => None,
+    }
+}
+
+/// Guards against an owner that loses its keys in an outage of the store, because its grant was
+/// under way when longer ones began.
+#[test]
+fn a_grant_under_way_is_followed_by_a_long_one() {
+    let owner = Life {
+        target: Arc::from("a"),
+        born: 1,
+    };
+    let mut keeper = Keeper::new(Arc::from("archive"), 1, BOUNDS, Vec::new(), 0);
+    keeper.set_lives([owner.clone()], 0);
+    keeper.assign(KeyRange::ALL, &owner, 0);
+    let (puts, removes) = keeper.rows_to_write(90);
+    keeper.on_commit(puts, &removes);
+    let orders = keeper.step(10);
+    assert_eq!(hold_of(&orders), Some(3_000), "{orders:?}");
+    keeper.set_bridge(true, 12);
+    keeper.on_grant(orders[0].id, GrantEnd::Accepted, 15);
+    let orders = keeper.step(16);
+    assert_eq!(hold_of(&orders), Some(10_000), "{orders:?}");
+    keeper.on_grant(orders[0].id, GrantEnd::Accepted, 20);
+    assert!(keeper.step(500).is_empty(), "the next one is due after 1 s");
+}
