Keep keys with their owner until the store names the next

A planned move was decided between the first and the second refused write of an outage. The keeper released the keys at their owner at once, but may grant them to the next only after the store names it, so nobody served them until the store was back (20 of 60 requests answered fenced).

Ruled out: the short grant under way as bridging begins; in the traces the last order before the outage was accepted, and the refusals begin with the line "keys move".

Change: an owner that answers is renewed under its old stamp, with the long hold when the store is away, until the store names the next one. Only then is it told to release. Callers of the hosts see the old owner meanwhile, as before.

--- a/crates/coordinator/src/keeper.rs
+++ b/crates/coordinator/src/keeper.rs
@@ -6,6 +6,7 @@
 //! **Architecture Invariant:** a target is granted keys only after the store names it as their
 //! owner, so that a later coordinator knows everyone who may hold them.
 
+mod earlier;
 mod entry;
 mod lost_orders;
 mod order;
@@ -19,7 +20,8 @@
 
 pub use self::order::{Bounds, GrantEnd, Order, OrderId, OrderKind, ReleaseEnd};
 use self::{
-    entry::{Earlier, Entry},
+    earlier::{Earlier, Tenancy},
+    entry::Entry,
     lost_orders::LostOrders,
     order::Sent,
     silence::{PROBE_MS, Silence},
@@ -115,13 +117,14 @@
         };
         if bridges && self.hold_ms < hold_ms {
             for entry in self.entries.values_mut() {
-                entry.renew_at = entry.renew_at.min(now);
+                entry.renew(now);
             }
         }
         self.hold_ms = hold_ms;
     }
 
-    /// Gives the keys in `range` to `owner`. What it owns already stays untouched.
+    /// Gives the keys in `range` to `owner`. What it owns already stays untouched. An owner that
+    /// answers keeps its keys until the store names the next one.
     ///
     /// # Panics
     ///
@@ -152,7 +155,8 @@
             }
             entry = entry.part(moved);
             let stamp = self.next_stamp();
-            entry.give(owner.clone(), stamp, now);
+            let answers = !self.silent.contains_key(&entry.owner.target);
+            entry.give(owner.clone(), stamp, answers, now);
             self.insert(entry);
         }
     }
@@ -165,19 +169,28 @@
             entry.clear_ended(now);
             let exists = |life: &Life| self.lives.get(&life.target) == Some(&life.born);
             for earlier in &mut entry.earlier {
-                let waits = earlier.release.is_some() || now < earlier.retry_at;
-                if waits || !exists(&earlier.life) {
+                if !exists(&earlier.life) {
                     continue;
                 }
                 let id = OrderId(self.next_order);
+                let (fence, kind) = if let Some(stamp) = earlier.due(now) {
+                    earlier.grant = Some(id);
+                    let hold_ms = self.hold_ms;
+                    let handover = None;
+                    (stamp, OrderKind::Grant { hold_ms, handover })
+                } else if earlier.is_release_due(now) {
+                    earlier.release = Some(id);
+                    (entry.stamp, OrderKind::Release)
+                } else {
+                    continue;
+                };
                 self.next_order += 1;
-                earlier.release = Some(id);
                 orders.push(Order {
                     id,
                     life: earlier.life.clone(),
                     range,
-                    fence: entry.stamp,
-                    kind: OrderKind::Release,
+                    fence,
+                    kind,
                 });
             }
             if !entry.is_due(now) || !exists(&entry.owner) {
@@ -227,9 +240,14 @@
             GrantEnd::Ended => self.on_ended(&sent.life, now),
             GrantEnd::Superseded | GrantEnd::Refused => {}
         }
-        let renew_ms = self.bounds.renew_ms;
-        let retry_ms = self.bounds.retry_ms;
-        let hold_ms = self.hold_ms;
+        // A grant that was under way when longer ones began is too short.
+        let short = sent.hold_ms < self.hold_ms;
+        let renew_at = if short {
+            now
+        } else {
+            sent.at + self.bounds.renew_ms
+        };
+        let retry_at = now + self.bounds.retry_ms;
         let mut superseded = Vec::new();
         for entry in self.entries.values_mut() {
             if entry.range.intersection(sent.range).is_none() {
@@ -237,7 +255,7 @@
             }
             for earlier in &mut entry.earlier {
                 if earlier.grant == Some(id) {
-                    earlier.grant = None;
+                    earlier.on_grant(end, renew_at, retry_at);
                 }
                 // A grant that was under way when its slice moved may still count.
                 if earlier.life == sent.life && end.may_hold() {
@@ -255,9 +273,7 @@
             }
             match end {
                 GrantEnd::Accepted => {
-                    // A grant that was under way when longer ones began is too short.
-                    let short = sent.hold_ms < hold_ms;
-                    entry.renew_at = if short { now } else { sent.at + renew_ms };
+                    entry.renew_at = renew_at;
                     entry.handover = None;
                     if entry.phase == Phase::Pending {
                         entry.phase = Phase::Held;
@@ -266,7 +282,7 @@
                 }
                 GrantEnd::NoAnswer => entry.renew_at = now,
                 GrantEnd::Ended | GrantEnd::NotSent | GrantEnd::Refused => {
-                    entry.renew_at = now + retry_ms;
+                    entry.renew_at = retry_at;
                 }
                 GrantEnd::Superseded => superseded.push(entry.range.first),
             }
--- a/crates/coordinator/src/keeper/entry.rs
+++ b/crates/coordinator/src/keeper/entry.rs
@@ -4,44 +4,9 @@
 
 use smallvec::SmallVec;
 
-use super::{OrderId, ReleaseEnd};
+use super::{Earlier, OrderId, ReleaseEnd, Tenancy};
 use crate::{KeyRange, Life, Millis, Phase, Slice, SliceRow, Stamp};
 
-/// An owner of before that may still hold the keys.
-#[derive(Clone, Debug)]
-pub(super) struct Earlier {
-    pub(super) life: Life,
-    /// The latest end of its hold.
-    pub(super) until: Millis,
-    /// The grant that was under way when it lost the slice and still is.
-    pub(super) grant: Option<OrderId>,
-    /// The release that is under way.
-    pub(super) release: Option<OrderId>,
-    /// When the release may be repeated.
-    pub(super) retry_at: Millis,
-    /// It has released the keys.
-    released: bool,
-}
-
-impl Earlier {
-    pub(super) fn new(life: Life, until: Millis) -> Self {
-        Self {
-            life,
-            until,
-            grant: None,
-            release: None,
-            retry_at: 0,
-            released: false,
-        }
-    }
-
-    /// A target refuses a grant that it receives after a release with a higher fencing token, so
-    /// nothing that is still under way counts after the release.
-    fn is_clear(&self, now: Millis) -> bool {
-        self.released || self.grant.is_none() && now >= self.until
-    }
-}
-
 /// A slice with its owner and those who may still hold it.
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
@@ -109,11 +74,18 @@
         }
     }
 
-    /// Gives the slice to `owner`.
-    pub(super) fn give(&mut self, owner: Life, stamp: Stamp, now: Millis) {
+    /// Gives the slice to `owner`. If the last one `answers`, it keeps the slice until the store
+    /// names the next.
+    pub(super) fn give(&mut self, owner: Life, stamp: Stamp, answers: bool, now: Millis) {
         if self.grant.is_some() || self.until > now {
             let mut earlier = Earlier::new(self.owner.clone(), self.until);
             earlier.grant = self.grant;
+            if answers && self.is_held() {
+                earlier.tenancy = Some(Tenancy {
+                    stamp: self.stamp,
+                    renew_at: self.renew_at,
+                });
+            }
             self.earlier.push(earlier);
         }
         let earlier = std::mem::take(&mut self.earlier);
@@ -180,7 +152,27 @@
     }
 
     pub(super) fn is_settled(&self) -> bool {
-        self.phase == Phase::Held && self.earlier.is_empty() && !self.lost
+        self.is_held() && self.earlier.is_empty()
+    }
+
+    /// The store names the owner, which may now be granted the slice.
+    pub(super) fn record(&mut self) {
+        self.recorded = true;
+        for earlier in &mut self.earlier {
+            earlier.tenancy = None;
+        }
+    }
+
+    /// Renews all grants of the slice at `now`.
+    pub(super) fn renew(&mut self, now: Millis) {
+        self.renew_at = self.renew_at.min(now);
+        for tenancy in self.earlier.iter_mut().filter_map(|it| it.tenancy.as_mut()) {
+            tenancy.renew_at = tenancy.renew_at.min(now);
+        }
+    }
+
+    fn is_held(&self) -> bool {
+        self.phase == Phase::Held && !self.lost
     }
 
     pub(super) fn slice(&self) -> Slice {
--- a/crates/coordinator/src/keeper/rows.rs
+++ b/crates/coordinator/src/keeper/rows.rs
@@ -59,7 +59,7 @@
                 let inside = entry.range.intersection(row.range) == Some(entry.range);
                 if inside && !entry.recorded && entry.owner == row.owner && entry.stamp == row.stamp
                 {
-                    entry.recorded = true;
+                    entry.record();
                     self.changed.insert(entry.range.first);
                 }
             }
--- a/crates/coordinator/tests/bridge.rs
+++ b/crates/coordinator/tests/bridge.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use coordinator::{Bounds, GrantEnd, Keeper, KeyRange, Life, Order, OrderKind};
+use coordinator::{Bounds, GrantEnd, Keeper, KeyRange, Life, Order, OrderKind, ReleaseEnd};
 
 const BOUNDS: Bounds = Bounds {
     hold_ms: 3_000,
@@ -44,3 +44,50 @@
     keeper.on_grant(orders[0].id, GrantEnd::Accepted, 20);
     assert!(keeper.step(500).is_empty(), "the next one is due after 1 s");
 }
+
+/// Guards against keys that nobody serves in an outage of the store that begins between the
+/// decision to move them and the write of their new owner.
+#[test]
+fn keys_stay_with_their_owner_until_the_store_names_the_next() {
+    let life = |name: &str| Life {
+        target: Arc::from(name),
+        born: 1,
+    };
+    let (old, new) = (life("a"), life("b"));
+    let mut keeper = Keeper::new(Arc::from("archive"), 1, BOUNDS, Vec::new(), 0);
+    keeper.set_lives([old.clone(), new.clone()], 0);
+    keeper.assign(KeyRange::ALL, &old, 0);
+    let (puts, removes) = keeper.rows_to_write(90);
+    keeper.on_commit(puts, &removes);
+    let orders = keeper.step(10);
+    keeper.on_grant(orders[0].id, GrantEnd::Accepted, 15);
+    let held = KeyRange::new(100, 200);
+    keeper.assign(held, &new, 20);
+    let (puts, removes) = keeper.rows_to_write(90);
+
+    keeper.set_bridge(true, 30);
+    let mut renewed = 0;
+    for order in keeper.step(31) {
+        assert_eq!(order.life, old, "{order:?}");
+        assert_eq!(hold_of(std::slice::from_ref(&order)), Some(10_000));
+        renewed += u32::from(order.range == held);
+        keeper.on_grant(order.id, GrantEnd::Accepted, 40);
+    }
+    assert_eq!(renewed, 1, "the keys that move are granted as well");
+    assert!(
+        keeper.step(500).is_empty(),
+        "the next ones are due after 1 s"
+    );
+
+    keeper.on_commit(puts, &removes);
+    let orders = keeper.step(510);
+    assert_eq!(orders.len(), 1, "{orders:?}");
+    assert_eq!(
+        (orders[0].kind.clone(), orders[0].life.clone()),
+        (OrderKind::Release, old)
+    );
+    let end = ReleaseEnd::Done { handover: None };
+    keeper.on_release(orders[0].id, &end, 515);
+    let orders = keeper.step(520);
+    assert_eq!(orders[0].life, new, "{orders:?}");
+}
