Let a stopping host wait for a slow gateway

A stopping host must not answer in place of a target that works.

Ruled out: a longer limit for all, which would find a frozen gateway later.

Change: a host that stops forwards over connections without pings; a request waits for its gateway as long as it has time. Requests forwarded before the stop still go by the pings.

--- a/crates/router/src/gateway/forward.rs
+++ b/crates/router/src/gateway/forward.rs
@@ -32,27 +32,36 @@
 /// HTTP/2 window of one connection.
 const CONNECTION_WINDOW_BYTES: u32 = 1024 * 1024;
 
-/// One multiplexed connection to each other host.
+type Http2Client = Client<HttpConnector, Full<Bytes>>;
+
+/// Multiplexed connections to the other hosts, one or two to each.
 pub struct Forwarder {
-    client: Client<HttpConnector, Full<Bytes>>,
+    /// Gives up the requests on a connection that went silent.
+    alert: Http2Client,
+    /// Waits for the answer as long as the request has time. A host that stops uses it, because it
+    /// must not break off a request whose gateway is merely slow.
+    patient: Http2Client,
 }
 
 impl Forwarder {
     /// Creates a forwarder without connections.
     pub fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_LIMIT));
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
+        let mut builder = Client::builder(TokioExecutor::new());
+        builder
             .timer(TokioTimer::new())
             .pool_timer(TokioTimer::new())
             .http2_only(true)
-            .http2_keep_alive_interval(PING_INTERVAL)
-            .http2_keep_alive_timeout(PING_LIMIT)
             .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
-            .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES)
-            .build(connector);
-        Self { client }
+            .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES);
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        connector.set_nodelay(true);
+        let patient = builder.build(connector.clone());
+        builder
+            .http2_keep_alive_interval(PING_INTERVAL)
+            .http2_keep_alive_timeout(PING_LIMIT);
+        let alert = builder.build(connector);
+        Self { alert, patient }
     }
 
     /// Sends a task to the gateway at `address`.
@@ -60,8 +69,13 @@
         let now = node.clock.now();
         let request = hop::request_of(task, &address.to_string(), now);
         let limit = Duration::from_millis(task.end.saturating_sub(now)) + ALLOWANCE;
+        let client = if *node.stopping.borrow() {
+            &self.patient
+        } else {
+            &self.alert
+        };
         let exchange = async {
-            let answer = match self.client.request(request).await {
+            let answer = match client.request(request).await {
                 Ok(answer) => answer,
                 Err(err) if err.is_connect() => {
                     return Outcome::NotRun {
