Log and count how the hold of a previous owner of keys ended

Successful orders are not logged, and the line of a failed one says nothing of what follows from it.

The slice manager now reports each former hold with how it ended. The coordinator counts them (former_holds_total, by end) and logs those that ended without a release, at the rate of state changes.

No decision changes.

--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -21,7 +21,8 @@
 pub use row::{RowError, SliceRow};
 pub use slice::{FencingToken, Incarnation, Phase, Slice};
 pub use slice_manager::{
-    GrantOutcome, GrantTiming, Order, OrderId, OrderKind, ReleaseOutcome, SliceManager,
+    FormerHold, GrantOutcome, GrantTiming, HoldEnd, Order, OrderId, OrderKind, ReleaseOutcome,
+    SliceManager,
 };
 pub use table::SliceTable;
 
--- a/crates/coordinator/src/slice_manager.rs
+++ b/crates/coordinator/src/slice_manager.rs
@@ -8,6 +8,7 @@
 //! owner, so that the next coordinator knows all targets that may hold them.
 
 mod entry;
+mod former_hold;
 mod lost_orders;
 mod order;
 mod previous_owner;
@@ -19,6 +20,7 @@
     sync::Arc,
 };
 
+pub use self::former_hold::{FormerHold, HoldEnd};
 pub use self::order::{GrantOutcome, GrantTiming, Order, OrderId, OrderKind, ReleaseOutcome};
 use self::{
     entry::Entry,
@@ -59,6 +61,8 @@
     lost_orders: LostOrders,
     /// First keys of the slices that changed since the last call of `take_changed`.
     changed: BTreeSet<Key>,
+    /// Holds of previous owners that ended since the last call of `take_former_holds`.
+    former_holds: Vec<FormerHold>,
 }
 
 impl SliceManager {
@@ -87,6 +91,7 @@
             unresponsive: BTreeMap::new(),
             lost_orders: LostOrders::default(),
             changed: BTreeSet::new(),
+            former_holds: Vec::new(),
         };
         let until = now + timing.max_hold_with_drift_ms();
         let mut rows = rows;
@@ -126,7 +131,7 @@
         self.unresponsive
             .retain(|it, _| self.incarnations.contains_key(it));
         for entry in self.entries.values_mut() {
-            entry.on_incarnations(&self.incarnations, now);
+            entry.on_incarnations(&self.incarnations, now, &mut self.former_holds);
         }
     }
 
@@ -190,7 +195,7 @@
         let mut orders = Vec::new();
         for entry in self.entries.values_mut() {
             let range = entry.range;
-            entry.drop_cleared_owners(now);
+            entry.drop_cleared_owners(now, &mut self.former_holds);
             let is_running = |incarnation: &Incarnation| {
                 self.incarnations.get(&incarnation.target) == Some(&incarnation.started_ms)
             };
@@ -414,10 +419,15 @@
         entries.filter(|it| it.recorded).map(Entry::slice).collect()
     }
 
+    /// Returns the holds of previous owners that ended since the last call.
+    pub fn take_former_holds(&mut self) -> Vec<FormerHold> {
+        std::mem::take(&mut self.former_holds)
+    }
+
     /// Drops all holds of an incarnation whose process has ended.
     fn on_incarnation_ended(&mut self, incarnation: &Incarnation, now: Millis) {
         for entry in self.entries.values_mut() {
-            entry.on_incarnation_ended(incarnation, now);
+            entry.on_incarnation_ended(incarnation, now, &mut self.former_holds);
         }
     }
 
--- a/crates/coordinator/src/slice_manager/entry.rs
+++ b/crates/coordinator/src/slice_manager/entry.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::{InterimGrant, OrderId, PreviousOwner, ReleaseOutcome};
+use super::{FormerHold, HoldEnd, InterimGrant, OrderId, PreviousOwner, ReleaseOutcome};
 use crate::{FencingToken, Incarnation, KeyRange, Millis, Phase, Slice, SliceRow};
 
 /// A slice with its owner and the previous owners that may still hold it.
@@ -112,33 +112,68 @@
             && !self.owner_lost
     }
 
-    /// Drops the holds of restarted targets, for which `incarnations` has a different start.
-    pub(super) fn on_incarnations(&mut self, incarnations: &BTreeMap<Arc<str>, u64>, now: Millis) {
+    /// Drops the holds of restarted targets, for which `incarnations` has a different start, and
+    /// adds those of previous owners to `former`.
+    pub(super) fn on_incarnations(
+        &mut self,
+        incarnations: &BTreeMap<Arc<str>, u64>,
+        now: Millis,
+        former: &mut Vec<FormerHold>,
+    ) {
         let is_restarted = |incarnation: &Incarnation| {
             incarnations
                 .get(&incarnation.target)
                 .is_some_and(|it| *it != incarnation.started_ms)
         };
-        self.end_incarnations(is_restarted, now);
+        self.end_incarnations(is_restarted, now, former);
     }
 
-    pub(super) fn on_incarnation_ended(&mut self, incarnation: &Incarnation, now: Millis) {
-        self.end_incarnations(|it| it == incarnation, now);
+    pub(super) fn on_incarnation_ended(
+        &mut self,
+        incarnation: &Incarnation,
+        now: Millis,
+        former: &mut Vec<FormerHold>,
+    ) {
+        self.end_incarnations(|it| it == incarnation, now, former);
     }
 
     /// Drops the holds of incarnations that have ended.
-    fn end_incarnations(&mut self, has_ended: impl Fn(&Incarnation) -> bool, now: Millis) {
-        self.previous_owners
-            .retain(|it| !has_ended(&it.incarnation));
+    fn end_incarnations(
+        &mut self,
+        has_ended: impl Fn(&Incarnation) -> bool,
+        now: Millis,
+        former: &mut Vec<FormerHold>,
+    ) {
+        let end =
+            |it: &PreviousOwner| has_ended(&it.incarnation).then_some(HoldEnd::IncarnationEnded);
+        self.drop_previous_owners(end, former);
         if has_ended(&self.owner) {
             self.until = self.until.min(now);
             self.owner_lost = true;
         }
     }
 
-    /// Drops the previous owners that cannot hold the keys any more.
-    pub(super) fn drop_cleared_owners(&mut self, now: Millis) {
-        self.previous_owners.retain(|it| !it.is_clear(now));
+    /// Drops the previous owners that cannot hold the keys any more, and adds their holds to
+    /// `former`.
+    pub(super) fn drop_cleared_owners(&mut self, now: Millis, former: &mut Vec<FormerHold>) {
+        self.drop_previous_owners(|it| it.hold_end(now), former);
+    }
+
+    fn drop_previous_owners(
+        &mut self,
+        hold_end: impl Fn(&PreviousOwner) -> Option<HoldEnd>,
+        former: &mut Vec<FormerHold>,
+    ) {
+        let range = self.range;
+        self.previous_owners.retain(|it| {
+            let Some(end) = hold_end(it) else { return true };
+            former.push(FormerHold {
+                range,
+                incarnation: it.incarnation.clone(),
+                end,
+            });
+            false
+        });
     }
 
     pub(super) fn on_release(
--- a/crates/coordinator/src/slice_manager/previous_owner.rs
+++ b/crates/coordinator/src/slice_manager/previous_owner.rs
@@ -1,6 +1,6 @@
 //! Previous owners of a slice.
 
-use super::{GrantOutcome, OrderId};
+use super::{GrantOutcome, HoldEnd, OrderId};
 use crate::{FencingToken, Incarnation, Millis};
 
 /// A previous owner that may still hold the keys.
@@ -43,12 +43,15 @@
         }
     }
 
-    /// Whether it cannot hold the keys any more.
+    /// Returns why it cannot hold the keys any more; `None` while it may hold them.
     ///
     /// A target refuses a grant that arrives after a release with a higher fencing token, so grants
     /// that are still in flight have no effect after the release.
-    pub(super) fn is_clear(&self, now: Millis) -> bool {
-        self.released || self.inflight_grant.is_none() && now >= self.until
+    pub(super) fn hold_end(&self, now: Millis) -> Option<HoldEnd> {
+        if self.released {
+            return Some(HoldEnd::Released);
+        }
+        (self.inflight_grant.is_none() && now >= self.until).then_some(HoldEnd::Expired)
     }
 
     /// Returns the fencing token of the grant that is due at `now`, if any.
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -8,7 +8,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use coordinator::{
-    Demand, GrantOutcome, Millis, Order, OrderId, OrderKind, ReleaseOutcome, SliceManager, SliceRow,
+    Demand, FormerHold, GrantOutcome, HoldEnd, Millis, Order, OrderId, OrderKind, ReleaseOutcome,
+    SliceManager, SliceRow,
 };
 use tokio::{sync::mpsc, task::JoinSet};
 
@@ -290,6 +291,9 @@
                     });
                 });
             }
+            for former in keyed.manager.take_former_holds() {
+                observe_former_hold(&self.node, &former);
+            }
         }
     }
 
@@ -340,6 +344,29 @@
     address.map(|(_, it)| it.address)
 }
 
+/// Counts a hold of a previous owner that has ended, and logs it if the target did not release the
+/// keys.
+fn observe_former_hold(node: &Node, former: &FormerHold) {
+    let end = match former.end {
+        HoldEnd::Released => "released",
+        HoldEnd::Expired => "expired",
+        HoldEnd::IncarnationEnded => "incarnation_ended",
+    };
+    node.metrics.former_hold(end);
+    if former.end != HoldEnd::Released
+        && let Some(left_out) = node.may_log(LineKind::StateChange)
+    {
+        log::info!(
+            end,
+            target_name = &*former.incarnation.target,
+            born = former.incarnation.started_ms,
+            keys:% = former.range,
+            left_out;
+            "a previous owner no longer holds keys that it has not released"
+        );
+    }
+}
+
 async fn send(node: &Node, address: SocketAddr, order: &Order) -> OrderResult {
     let sent = node.clock.now();
     let result = match order.kind {
--- a/crates/router/src/observe/log_limiter.rs
+++ b/crates/router/src/observe/log_limiter.rs
@@ -24,7 +24,7 @@
     Attempt,
     /// An order to a target failed, or its result is unknown.
     Order,
-    /// The known targets or hosts changed.
+    /// The known targets or hosts changed, or a hold of keys ended without a release.
     StateChange,
 }
 
--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -46,6 +46,7 @@
     retries: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
+    former_holds: Counter<u64>,
     hop_bytes: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     request_ms: Histogram<f64>,
@@ -69,6 +70,7 @@
             retries: counter("retries"),
             store_calls: counter("store_calls"),
             orders: counter("orders"),
+            former_holds: counter("former_holds"),
             hop_bytes: counter("hop_body_bytes"),
             log_lines_left_out: counter("log_lines_left_out"),
             request_ms: histogram("request_ms"),
@@ -126,6 +128,12 @@
         self.orders.add(1, &labels);
     }
 
+    /// Counts a hold of a previous owner, by how it ended.
+    pub fn former_hold(&self, end: &'static str) {
+        let labels = [KeyValue::new("end", end)];
+        self.former_holds.add(1, &labels);
+    }
+
     /// Counts the body bytes of a forwarded request and of its answer.
     pub fn hop(&self, distance: Distance, sent: u64, received: u64) {
         for (direction, bytes) in [("sent", sent), ("received", received)] {
