Test that a grant read late gives keys no second owner

The random search models orders that wait at an overloaded target and are read up to 7 s after they were sent; so far an order arrived at once or never, only its processing could be late.

--- a/crates/coordinator/tests/safety.rs
+++ b/crates/coordinator/tests/safety.rs
@@ -84,6 +84,11 @@
     ProcessedLate {
         delay_ms: u64,
     },
+    /// The order waits at an overloaded target, which reads it after the sender has given up. A
+    /// grant lasts from then on.
+    ReadLate {
+        delay_ms: u64,
+    },
 }
 
 /// A step of the random sequence.
@@ -136,6 +141,7 @@
         1 => Just(NetworkOutcome::AnswerLost),
         1 => Just(NetworkOutcome::NeverArrives),
         2 => (2_000..12_000_u64).prop_map(|delay_ms| NetworkOutcome::ProcessedLate { delay_ms }),
+        2 => (250..7_000_u64).prop_map(|delay_ms| NetworkOutcome::ReadLate { delay_ms }),
     ]
 }
 
@@ -359,6 +365,13 @@
                     .insert((now + delay_ms, self.sequence), arrival);
                 self.schedule_answer(250, id, no_answer);
             }
+            NetworkOutcome::ReadLate { delay_ms } => {
+                self.sequence += 1;
+                let arrived = now + delay_ms;
+                let arrival = Arrival::AtTarget { order, arrived };
+                self.arrivals.insert((arrived, self.sequence), arrival);
+                self.schedule_answer(250, id, no_answer);
+            }
         }
     }
 
