Count an unanswered grant as possibly unread for 7 s

Cause: the hold of an unanswered grant was counted from the moment at which the coordinator gave it up, as if the target had read it by then. Resetting the connection does not withdraw bytes that an overloaded target has received and not read: it accepts connections seconds after they were opened, and the hold begins when it reads the grant. The class of fault is a time-out of the sender taken as a bound on when a message takes effect.

Change: an unanswered grant counts as in force until 7 s and its duration have passed. Keys still move at once when the target answers a release, which is repeated every 300 ms, or when its incarnation ends; only keys of a target that answers nothing wait longer, and of those only the ones whose grant was sent and not answered, at most one for each of three connections. A new coordinator's wait (10.2 s) covers grants of the usual duration that are read late; the bound is computed.

Ruled out: an answered release before the late grant and an ended incarnation do not explain the distance of 3.06 s.

--- a/crates/coordinator/src/slice_manager.rs
+++ b/crates/coordinator/src/slice_manager.rs
@@ -254,7 +254,11 @@
         let Some(sent) = self.in_flight.remove(&id) else {
             return;
         };
-        let until = self.timing.latest_end(now, sent.hold_ms);
+        let read_by = match outcome {
+            GrantOutcome::NoAnswer => now + self.timing.unread_ms,
+            _ => now,
+        };
+        let until = self.timing.latest_end(read_by, sent.hold_ms);
         let target = Arc::clone(&sent.incarnation.target);
         match outcome {
             GrantOutcome::Accepted => {
--- a/crates/coordinator/src/slice_manager/order.rs
+++ b/crates/coordinator/src/slice_manager/order.rs
@@ -16,6 +16,10 @@
     /// Delay before an order that failed or got no answer is repeated. An unanswered grant to the
     /// owner is repeated at once.
     pub retry_ms: u64,
+    /// Longest time for which an order without an answer may stay unread after its sender has given
+    /// it up: closing a connection does not withdraw bytes that an overloaded target has received
+    /// and not read yet.
+    pub unread_ms: u64,
     /// How much slower than this host's clock a target's clock may run, in percent.
     pub drift_percent: u64,
 }
@@ -29,10 +33,13 @@
         arrived + hold_ms * 100 / (100 - self.drift_percent) + 1
     }
 
-    /// Returns the longest time for which a grant of an earlier coordinator can be in force.
+    /// Returns the longest time for which a grant of an earlier coordinator can be in force: one of
+    /// the longest duration that its target has answered, or one of the usual duration that its
+    /// target reads late.
     #[must_use]
     pub fn max_hold_with_drift_ms(&self) -> u64 {
-        self.latest_end(0, self.max_hold_ms)
+        let answered = self.latest_end(0, self.max_hold_ms);
+        answered.max(self.latest_end(self.unread_ms, self.hold_ms))
     }
 }
 
--- a/crates/coordinator/tests/late_orders.rs
+++ b/crates/coordinator/tests/late_orders.rs
@@ -12,12 +12,10 @@
     max_hold_ms: 10_000,
     renew_ms: 1_000,
     retry_ms: 300,
+    unread_ms: 7_000,
     drift_percent: 2,
 };
 
-/// How long a target may leave an order unread after the coordinator gave it up.
-const UNREAD_MS: Millis = 7_000;
-
 /// When the coordinator gives up the grant to the first owner.
 const GIVEN_UP_AT: Millis = 260;
 
@@ -50,7 +48,7 @@
         /// The earliest time at which the second owner may be granted the keys.
         from: Millis,
     }
-    let latest_read = GIVEN_UP_AT + UNREAD_MS;
+    let latest_read = GIVEN_UP_AT + TIMING.unread_ms;
     let cases = [
         Case {
             name: "released",
--- a/crates/router/src/control/tenure/plan.rs
+++ b/crates/router/src/control/tenure/plan.rs
@@ -25,6 +25,10 @@
 /// Delay before an order that failed or got no answer is repeated.
 const ORDER_RETRY_MS: u64 = 300;
 
+/// Longest time for which a target may leave an order unread after this host gave it up. An
+/// overloaded target accepts connections seconds after they were opened.
+const ORDER_UNREAD_MS: u64 = 7_000;
+
 /// How much slower than this host's clock a target's clock may run.
 const DRIFT_PERCENT: u64 = 2;
 
@@ -204,6 +208,7 @@
         max_hold_ms,
         renew_ms: RENEW_GRANT_MS.min(max_hold_ms / 3),
         retry_ms: ORDER_RETRY_MS,
+        unread_ms: ORDER_UNREAD_MS,
         drift_percent: DRIFT_PERCENT,
     }
 }
