--- a/crates/coordinator/tests/late_orders.rs
+++ b/crates/coordinator/tests/late_orders.rs
@@ -101,3 +101,93 @@
         );
     }
 }
+
+/// Guards against a second owner of keys whose first owner was granted them by a coordinator that
+/// ended at once, and reads that grant as late as it can.
+#[test]
+fn a_new_coordinator_waits_for_grants_that_are_read_late() {
+    struct Case {
+        name: &'static str,
+        extended: bool,
+        hold_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "usual duration",
+            extended: false,
+            hold_ms: TIMING.hold_ms,
+        },
+        Case {
+            name: "longest duration",
+            extended: true,
+            hold_ms: TIMING.max_hold_ms,
+        },
+    ];
+    let mut early = Vec::new();
+    for Case {
+        name,
+        extended,
+        hold_ms,
+    } in cases
+    {
+        let (first, second) = (incarnation("a"), incarnation("b"));
+        let mut manager = SliceManager::new(Arc::from("archive"), 1, TIMING, Vec::new(), 0);
+        manager.set_incarnations([first.clone(), second.clone()], 0);
+        manager.set_extended_grants(extended, 0);
+        manager.assign(KeyRange::ALL, &first, 0);
+        let (rows, _) = manager.rows_to_write(90);
+        commit(&mut manager);
+        let sent_at = 10;
+        assert_eq!(grants_to(&manager.step(sent_at), &first).len(), 1);
+
+        let mut manager = SliceManager::new(Arc::from("archive"), 2, TIMING, rows, sent_at);
+        manager.set_incarnations([first.clone(), second.clone()], sent_at);
+        manager.assign(KeyRange::ALL, &second, sent_at);
+        commit(&mut manager);
+        let granted_at = first_grant_to(&second, &mut manager, sent_at);
+        let from = GIVEN_UP_AT + TIMING.unread_ms + hold_ms * 100 / 98;
+        if granted_at < from {
+            early.push((name, granted_at, from));
+        }
+    }
+    assert!(
+        early.is_empty(),
+        "granted too early (case, time, earliest time): {early:?}"
+    );
+}
+
+/// Guards against keys that are never granted again, because they returned to the owner that the
+/// store names before the store named another.
+#[test]
+fn keys_that_return_to_their_owner_are_granted_again() {
+    let (first, second) = (incarnation("a"), incarnation("b"));
+    let mut manager = SliceManager::new(Arc::from("archive"), 1, TIMING, Vec::new(), 0);
+    manager.set_incarnations([first.clone(), second.clone()], 0);
+    manager.assign(KeyRange::ALL, &first, 0);
+    commit(&mut manager);
+    let orders = manager.step(10);
+    manager.on_grant(orders[0].id, GrantOutcome::Accepted, 20);
+    let expired = 20_000;
+    manager.assign(KeyRange::ALL, &second, expired);
+    manager.assign(KeyRange::ALL, &first, expired + 100);
+    commit(&mut manager);
+    let orders = manager.step(expired + 200);
+    assert_eq!(grants_to(&orders, &first).len(), 1);
+}
+
+/// Returns when `owner` is first granted keys, while no other target answers an order.
+fn first_grant_to(owner: &Incarnation, manager: &mut SliceManager, from: Millis) -> Millis {
+    for now in (from..from + 60_000).step_by(10) {
+        let orders = manager.step(now);
+        if !grants_to(&orders, owner).is_empty() {
+            return now;
+        }
+        for order in orders {
+            match order.kind {
+                OrderKind::Grant { .. } => manager.on_grant(order.id, GrantOutcome::NotSent, now),
+                OrderKind::Release => manager.on_release(order.id, &ReleaseOutcome::NoAnswer, now),
+            }
+        }
+    }
+    panic!("{owner:?} is never granted keys");
+}
