End a hold only when the list shows a later start of the target

Callers could reach two targets that both hold their key (OWNER): keys moved at once while their owner held them.

Cause: any other start in the list counted as a restart. A list that goes back in time shows an earlier start, and an entry without `born` (other writers leave fields out) is parsed as start 0; neither proves that the process has ended.

Change: only a later start ends a hold, and only if both are known. In the other cases the keys move when the hold expires.

--- a/crates/coordinator/src/slice_manager/entry.rs
+++ b/crates/coordinator/src/slice_manager/entry.rs
@@ -112,8 +112,9 @@
             && !self.owner_lost
     }
 
-    /// Drops the holds of restarted targets, for which `incarnations` has a different start, and
-    /// adds those of previous owners to `former`.
+    /// Drops the holds of restarted targets, for which `incarnations` has a later start, and adds
+    /// those of previous owners to `former`. An unknown start or an earlier one, from an outdated
+    /// list, ends no hold.
     pub(super) fn on_incarnations(
         &mut self,
         incarnations: &BTreeMap<Arc<str>, u64>,
@@ -123,7 +124,7 @@
         let is_restarted = |incarnation: &Incarnation| {
             incarnations
                 .get(&incarnation.target)
-                .is_some_and(|it| *it != incarnation.started_ms)
+                .is_some_and(|it| incarnation.started_ms != 0 && *it > incarnation.started_ms)
         };
         self.end_incarnations(is_restarted, now, former);
     }
