Keep the hold of a target that was restarted under its name

Callers could reach two targets that both hold their key (OWNER): a restarted one, and the next owner.

Cause: orders name a target by its id only (`X-Expect-Instance`); `born` is in the list and in no order. A process that starts again under its id and address accepts a grant or renewal that was meant for its predecessor. When the list shows the restart, later, all holds of the predecessor were dropped and the keys moved at once. The random search could not find this: its targets knew for which process an order was meant.

Change: when the list shows the restart, the new process becomes a previous owner with the same latest end of its hold. Its keys move as soon as it answers a release, which it does at once, or when the hold has expired. Releases wait until the entry has a new owner: with the token of the lost owner they would not make the target refuse a late grant.

The random search has restarts in place, which the list shows up to 3 s later; before, it found two holders (key 1, [(0, 104612), (1, 104061)]). Its targets start with a known start (1), and orders that a process received and did not process end with it.

--- a/crates/coordinator/src/slice_manager.rs
+++ b/crates/coordinator/src/slice_manager.rs
@@ -1,8 +1,8 @@
 //! The coordinator's state for one service: which targets may hold which keys, and until when.
 //!
 //! **Architecture Invariant:** a target is granted keys only when no other incarnation of any
-//! target can hold them: each previous owner has released them, its hold has expired, or it was
-//! restarted.
+//! target can hold them: each previous owner has released them, its hold has expired, or another
+//! target has its address.
 //!
 //! **Architecture Invariant:** a target is granted keys only after the store names it as their
 //! owner, so that the next coordinator knows all targets that may hold them.
@@ -118,7 +118,8 @@
 
     /// Replaces the list of targets that exist, draining ones included.
     ///
-    /// A restarted target with the same name holds none of the keys that it held before.
+    /// A restarted target with the same name holds none of the keys that it held before, but it may
+    /// have accepted grants that were sent to its predecessor.
     pub fn set_incarnations(
         &mut self,
         incarnations: impl IntoIterator<Item = Incarnation>,
@@ -131,7 +132,7 @@
         self.unresponsive
             .retain(|it, _| self.incarnations.contains_key(it));
         for entry in self.entries.values_mut() {
-            entry.on_incarnations(&self.incarnations, now, &mut self.former_holds);
+            entry.on_incarnations(&self.incarnations, now);
         }
     }
 
@@ -209,7 +210,9 @@
                     let hold_ms = self.hold_ms;
                     let handover = None;
                     (token, OrderKind::Grant { hold_ms, handover })
-                } else if previous.is_release_due(now) {
+                } else if !entry.owner_lost && previous.is_release_due(now) {
+                    // The token of a lost owner is not above those of its grants, which its
+                    // successor may still accept.
                     previous.inflight_release = Some(id);
                     (entry.token, OrderKind::Release)
                 } else {
@@ -295,8 +298,9 @@
                 if previous.inflight_grant == Some(id) {
                     previous.on_grant(outcome, renew_at, retry_at);
                 }
-                // A grant that was in flight when its slice moved may still be in force.
-                if previous.incarnation == sent.incarnation && outcome.may_hold() {
+                // A grant that was in flight when its slice moved or its target was restarted may
+                // still be in force.
+                if previous.incarnation.target == sent.incarnation.target && outcome.may_hold() {
                     previous.until = previous.until.max(until);
                 }
             }
@@ -306,7 +310,7 @@
             if entry.inflight_grant == Some(id) {
                 entry.inflight_grant = None;
             }
-            if outcome.may_hold() {
+            if outcome.may_hold() && !entry.owner_lost {
                 entry.until = entry.until.max(until);
             }
             match outcome {
--- a/crates/coordinator/src/slice_manager/entry.rs
+++ b/crates/coordinator/src/slice_manager/entry.rs
@@ -112,21 +112,35 @@
             && !self.owner_lost
     }
 
-    /// Drops the holds of restarted targets, for which `incarnations` has a later start, and adds
-    /// those of previous owners to `former`. An unknown start or an earlier one, from an outdated
-    /// list, ends no hold.
-    pub(super) fn on_incarnations(
-        &mut self,
-        incarnations: &BTreeMap<Arc<str>, u64>,
-        now: Millis,
-        former: &mut Vec<FormerHold>,
-    ) {
-        let is_restarted = |incarnation: &Incarnation| {
-            incarnations
-                .get(&incarnation.target)
-                .is_some_and(|it| incarnation.started_ms != 0 && *it > incarnation.started_ms)
+    /// Applies the restarts of targets, for which `incarnations` has a later start: a process that
+    /// may have accepted grants meant for its predecessor becomes a previous owner. An unknown start
+    /// or an earlier one, from an outdated list, changes nothing.
+    pub(super) fn on_incarnations(&mut self, incarnations: &BTreeMap<Arc<str>, u64>, now: Millis) {
+        let successor = |it: &Incarnation| {
+            let started_ms = *incarnations.get(&it.target)?;
+            (it.started_ms != 0 && started_ms > it.started_ms).then(|| Incarnation {
+                target: Arc::clone(&it.target),
+                started_ms,
+            })
         };
-        self.end_incarnations(is_restarted, now, former);
+        for previous in &mut self.previous_owners {
+            if let Some(incarnation) = successor(&previous.incarnation) {
+                previous.replace_incarnation(incarnation);
+            }
+        }
+        if self.owner_lost {
+            return;
+        }
+        let Some(incarnation) = successor(&self.owner) else {
+            return;
+        };
+        if self.inflight_grant.is_some() || self.until > now {
+            let mut previous = PreviousOwner::new(incarnation, self.until);
+            previous.inflight_grant = self.inflight_grant.take();
+            self.previous_owners.push(previous);
+        }
+        self.until = self.until.min(now);
+        self.owner_lost = true;
     }
 
     pub(super) fn on_incarnation_ended(
--- a/crates/coordinator/src/slice_manager/previous_owner.rs
+++ b/crates/coordinator/src/slice_manager/previous_owner.rs
@@ -43,6 +43,15 @@
         }
     }
 
+    /// Replaces the process by one that started later under the same name. Orders name only the
+    /// target, so the new process may have accepted the same grants, but no release.
+    pub(super) fn replace_incarnation(&mut self, incarnation: Incarnation) {
+        *self = Self {
+            inflight_grant: self.inflight_grant,
+            ..Self::new(incarnation, self.until)
+        };
+    }
+
     /// Returns why it cannot hold the keys any more; `None` while it may hold them.
     ///
     /// A target refuses a grant that arrives after a release with a higher fencing token, so grants
--- a/crates/coordinator/tests/safety.rs
+++ b/crates/coordinator/tests/safety.rs
@@ -26,6 +26,12 @@
 #[derive(Clone, Debug, Default)]
 struct Target {
     started_ms: u64,
+    /// Orders to processes that started before this get the answer that the target has ended.
+    gone_before: u64,
+    /// The start that the list shows until `listed_from`.
+    previous_start: u64,
+    /// When the list shows the present start.
+    listed_from: u64,
     registered: bool,
     /// End of its hold by key.
     hold_ends: BTreeMap<u16, u64>,
@@ -34,6 +40,15 @@
 }
 
 impl Target {
+    /// The start that the list shows.
+    fn listed_start(&self, now: u64) -> u64 {
+        if now < self.listed_from {
+            self.previous_start
+        } else {
+            self.started_ms
+        }
+    }
+
     fn grant(&mut self, now: u64, arrived: u64, order: &Order) -> GrantOutcome {
         let keys = order.range.first..=order.range.last;
         if keys.clone().any(|it| {
@@ -106,6 +121,13 @@
         answered: bool,
     },
     Restart(usize),
+    /// The target starts again under its name and address: it takes orders to its predecessor,
+    /// except those that the predecessor received and did not process.
+    RestartInPlace {
+        target: usize,
+        /// Time until the list shows the restart.
+        listed_after_ms: u64,
+    },
     Leave(usize),
     Join(usize),
     Refuse {
@@ -128,6 +150,9 @@
         6 => Just(Event::Commit { applied: true, answered: true }),
         1 => any::<bool>().prop_map(|applied| Event::Commit { applied, answered: false }),
         1 => (0..TARGETS).prop_map(Event::Restart),
+        1 => (0..TARGETS, 0..3_000_u64).prop_map(|(target, listed_after_ms)| {
+            Event::RestartInPlace { target, listed_after_ms }
+        }),
         1 => (0..TARGETS).prop_map(Event::Leave),
         1 => (0..TARGETS).prop_map(Event::Join),
         1 => (0..KEYS, 0..TARGETS).prop_map(|(key, target)| Event::Refuse { key, target }),
@@ -191,6 +216,8 @@
     fn new(network_outcomes: Vec<NetworkOutcome>) -> Self {
         let mut targets = vec![Target::default(); TARGETS];
         for target in &mut targets {
+            // A start of 0 is unknown.
+            target.started_ms = 1;
             target.registered = true;
         }
         Self {
@@ -225,6 +252,25 @@
                 let started_ms = self.targets[target].started_ms + 1;
                 self.targets[target] = Target {
                     started_ms,
+                    gone_before: started_ms,
+                    registered: true,
+                    ..Target::default()
+                };
+            }
+            Event::RestartInPlace {
+                target,
+                listed_after_ms,
+            } => {
+                self.arrivals.retain(|_, it| match it {
+                    Arrival::AtTarget { order, .. } => order.incarnation.target != name(target),
+                    Arrival::Answer { .. } => true,
+                });
+                let old = &self.targets[target];
+                self.targets[target] = Target {
+                    started_ms: old.started_ms + 1,
+                    gone_before: old.gone_before,
+                    previous_start: old.listed_start(self.now),
+                    listed_from: self.now + listed_after_ms,
                     registered: true,
                     ..Target::default()
                 };
@@ -245,7 +291,7 @@
     fn incarnation(&self, target: usize) -> Incarnation {
         Incarnation {
             target: name(target),
-            started_ms: self.targets[target].started_ms,
+            started_ms: self.targets[target].listed_start(self.now),
         }
     }
 
@@ -281,7 +327,7 @@
     fn deliver(&mut self, now: u64, arrived: u64, order: &Order) -> Option<Outcome> {
         let idx = (0..TARGETS).find(|it| name(*it) == order.incarnation.target)?;
         let target = &mut self.targets[idx];
-        if target.started_ms != order.incarnation.started_ms {
+        if order.incarnation.started_ms < target.gone_before {
             return Some(match order.kind {
                 OrderKind::Grant { .. } => Outcome::Grant(GrantOutcome::Gone),
                 OrderKind::Release => Outcome::Release(ReleaseOutcome::Gone),
