Record an owner whose row the store already holds

Callers got no answer for keys that no target was ever granted again, until they moved once more.

Cause: an entry whose owner's hold has expired moved to another target and back before the store named the other one. Its owner was not recorded, but its row equalled the stored one and was left out of every write, so that no commit recorded the owner.

Change: an entry whose owner is not recorded is always written.

Evidence: keys_that_return_to_their_owner_are_granted_again failed before (0 grants, expected 1) and passes.

--- a/crates/coordinator/src/slice_manager/rows.rs
+++ b/crates/coordinator/src/slice_manager/rows.rs
@@ -18,19 +18,20 @@
     /// The order ensures that the store always names all targets that may hold a key, even if only
     /// the first rows are written: new rows come first, then changed ones that cover no fewer keys
     /// than before, then changed ones that cover fewer, then removals. If several rows cover a key,
-    /// the one with the highest fencing token applies.
+    /// the one with the highest fencing token applies. An entry whose owner is not recorded yet is
+    /// written even if the row says the same, so that its commit records the owner.
     #[must_use]
     pub fn rows_to_write(&self, limit: usize) -> (Vec<SliceRow>, Vec<String>) {
         let mut wanted = BTreeMap::new();
         for entry in self.entries.values() {
             let row = entry.row(&self.service);
-            wanted.insert(row.name(), row);
+            wanted.insert(row.name(), (entry.recorded, row));
         }
         let mut puts = Vec::new();
-        for (name, row) in &wanted {
+        for (name, (recorded, row)) in &wanted {
             let stage = match self.stored.get(name) {
                 None => WriteStage::New,
-                Some(old) if is_equivalent(old, row) => continue,
+                Some(old) if *recorded && is_equivalent(old, row) => continue,
                 Some(old) if old.range.last > row.range.last => WriteStage::Shrunk,
                 Some(_) => WriteStage::Changed,
             };
