--- a/crates/coordinator/tests/safety.rs
+++ b/crates/coordinator/tests/safety.rs
@@ -1,7 +1,8 @@
 //! A random search for two targets that hold the same key.
 //!
 //! The model has targets with the fencing rules of the users' back ends, a store, and a network
-//! that loses, delays and reorders orders and answers. Coordinators crash and are replaced.
+//! that loses, delays and reorders orders and answers. Coordinators crash and are replaced, and the
+//! store comes back from earlier copies of its rows.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -108,6 +109,11 @@
     },
     ExtendGrants(bool),
     Crash,
+    /// The store comes back from a copy that lacks the last `lost` writes, and a new coordinator
+    /// takes over.
+    Restore {
+        lost: usize,
+    },
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -130,6 +136,13 @@
     ]
 }
 
+fn event_or_restore() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        30 => event(),
+        1 => (1..20_usize).prop_map(|lost| Event::Restore { lost }),
+    ]
+}
+
 fn network_outcome() -> impl Strategy<Value = NetworkOutcome> {
     prop_oneof![
         8 => (1..200_u64).prop_map(|delay_ms| NetworkOutcome::Answered { delay_ms }),
@@ -165,6 +178,8 @@
     term: u64,
     targets: Vec<Target>,
     rows: BTreeMap<String, SliceRow>,
+    /// The rows before each write.
+    copies: Vec<BTreeMap<String, SliceRow>>,
     /// A write that was applied, but whose answer was lost. The next write is refused, because the
     /// lease has another revision; its answer shows that this one was applied.
     unanswered_write: Option<(Vec<SliceRow>, Vec<String>)>,
@@ -191,6 +206,7 @@
             term: 1,
             targets,
             rows: BTreeMap::new(),
+            copies: Vec::new(),
             unanswered_write: None,
             manager: SliceManager::new("s".into(), 1, TIMING, Vec::new(), 100_000),
             arrivals: BTreeMap::new(),
@@ -230,6 +246,7 @@
             }
             Event::ExtendGrants(extended) => self.manager.set_extended_grants(extended, self.now),
             Event::Crash => self.crash(),
+            Event::Restore { lost } => self.restore(lost),
         }
         self.step();
         self.check();
@@ -380,6 +397,7 @@
         }
         let (puts, removes) = self.manager.rows_to_write(2);
         if applied {
+            self.copies.push(self.rows.clone());
             for name in &removes {
                 self.rows.remove(name);
             }
@@ -405,6 +423,16 @@
         self.manager = SliceManager::new("s".into(), self.term, TIMING, rows, self.now);
     }
 
+    /// Undoes the last `lost` writes and replaces the coordinator.
+    fn restore(&mut self, lost: usize) {
+        let kept = self.copies.len().saturating_sub(lost);
+        self.copies.truncate(kept + 1);
+        if let Some(copy) = self.copies.pop() {
+            self.rows = copy;
+        }
+        self.crash();
+    }
+
     fn check(&self) {
         for key in 0..KEYS {
             let mut holders = Vec::new();
@@ -443,4 +471,16 @@
             model.apply(event);
         }
     }
+
+    /// Guards against the same where the store comes back from a copy that names earlier owners.
+    #[test]
+    fn a_key_has_one_holder_after_a_restore(
+        events in prop::collection::vec(event_or_restore(), 1..60),
+        network_outcomes in prop::collection::vec(network_outcome(), 1..40),
+    ) {
+        let mut model = Model::new(network_outcomes);
+        for event in events {
+            model.apply(event);
+        }
+    }
 }
