Order revisions of the store across restores from a copy

A watch continued from a revision that the restored store had given out again, and skipped what was written in between.

Cause: a revision was a number. After the store has come back from a copy, the same number can name another write.

--- a/crates/router/src/control/lease.rs
+++ b/crates/router/src/control/lease.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     node::Node,
-    ports::{CommitResult, OwnRows, Transaction},
+    ports::{CommitResult, OwnRows, Revision, Transaction},
 };
 
 /// Duration of the lease.
@@ -15,8 +15,8 @@
 pub struct LeaseView {
     /// The row; `None` if there is none or it is malformed.
     pub row: Option<LeaseRow>,
-    /// Revision of the row; 0 if there is none.
-    pub rev: u64,
+    /// Revision of the row; its number is 0 if there is none.
+    pub rev: Revision,
     /// The reading of the store's clock from the same answer.
     pub clock: StoreClock,
 }
@@ -27,7 +27,7 @@
     /// The row as this host last wrote it.
     pub row: LeaseRow,
     /// Its revision.
-    pub rev: u64,
+    pub rev: Revision,
     /// The last reading of the store's clock.
     pub clock: StoreClock,
     /// When the lease expires, on this host's clock.
@@ -56,9 +56,13 @@
                 None
             }
         });
+        let absent = Revision {
+            generation: rows.generation,
+            number: 0,
+        };
         Self {
             row,
-            rev: known.map_or(0, |it| it.rev),
+            rev: known.map_or(absent, |it| it.rev),
             clock: StoreClock {
                 sent,
                 received: node.clock.now(),
@@ -89,6 +93,8 @@
         let until = self.clock.local_expiry(row.until);
         let sent = node.clock.now();
         match node.store.commit(&transaction).await {
+            // In another generation the expected revision may be that of another holder's row.
+            CommitResult::Applied { rev, .. } if rev.generation != self.rev.generation => None,
             CommitResult::Applied { rev, store_ms } => {
                 let received = node.clock.now();
                 let value = store_ms;
@@ -112,3 +118,6 @@
 pub fn encode(row: &LeaseRow) -> Vec<u8> {
     serde_json::to_vec(row).expect("a lease has string keys only")
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/control/tenure/commit.rs
+++ b/crates/router/src/control/tenure/commit.rs
@@ -7,7 +7,7 @@
 use super::{Completion, RENEW_INTERVAL_MS, Tenure};
 use crate::{
     control::lease::{LEASE_MS, encode},
-    ports::{CommitResult, OwnRows, Transaction},
+    ports::{CommitResult, OwnRows, Revision, Transaction},
 };
 
 /// Maximum number of rows that one transaction changes in addition to the lease; the store accepts
@@ -125,6 +125,9 @@
             commit,
         } = finished;
         match commit {
+            CommitResult::Applied { rev, .. } if !self.is_same_generation(rev) => {
+                self.superseded = true;
+            }
             CommitResult::Applied { rev, store_ms } => {
                 self.on_applied(write, rev, sent);
                 self.node.set_needs_successor(false);
@@ -157,8 +160,19 @@
         }
     }
 
+    /// Whether the store has not come back from a copy since this host last wrote the lease. If it
+    /// has, it may have given out the revision of the lease again, so that a write that expects this
+    /// revision can replace the lease of another host.
+    fn is_same_generation(&self, rev: Revision) -> bool {
+        let same = rev.generation == self.lease.rev.generation;
+        if !same {
+            log::warn!(generation = rev.generation; "the store has come back from a copy");
+        }
+        same
+    }
+
     /// Handles a write that the store has applied: this host holds the lease.
-    fn on_applied(&mut self, write: LeaseWrite, rev: u64, sent: Millis) {
+    fn on_applied(&mut self, write: LeaseWrite, rev: Revision, sent: Millis) {
         let LeaseWrite { row, batches } = write;
         self.lease.until = self.lease.clock.local_expiry(row.until);
         self.lease.rev = rev;
@@ -188,6 +202,10 @@
             self.superseded = true;
             return;
         };
+        if !self.is_same_generation(found.rev) {
+            self.superseded = true;
+            return;
+        }
         let Some(idx) = self.unconfirmed.iter().position(|it| it.row == row) else {
             log::warn!(holder = &*row.host; "another host holds the lease");
             self.superseded = true;
--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -16,8 +16,8 @@
 use crate::{
     node::Node,
     ports::{
-        CommitResult, OwnRows, ProtocolProfile, Read, Store, StoreError, TargetApi, Topic,
-        Transaction,
+        CommitResult, OwnRows, ProtocolProfile, Read, Revision, Store, StoreError, TargetApi,
+        Topic, Transaction,
     },
     run::Ports,
     settings::Settings,
@@ -27,9 +27,19 @@
 #[derive(Default)]
 pub struct EmptyPlatform {
     reads: AtomicU32,
+    /// Result of all commits; unknown if absent.
+    commit: Option<CommitResult>,
 }
 
 impl EmptyPlatform {
+    /// Creates a platform on which all commits have the result `commit`.
+    pub fn with_commit(commit: CommitResult) -> Self {
+        Self {
+            commit: Some(commit),
+            ..Self::default()
+        }
+    }
+
     /// Number of reads of the configuration so far.
     pub fn reads(&self) -> u32 {
         self.reads.load(Ordering::Relaxed)
@@ -44,7 +54,7 @@
         Box::pin(ready(Ok(Read::default())))
     }
 
-    fn watch(&self, _: Topic, _: u64, _: Duration) -> BoxFuture<'_, Result<Read, StoreError>> {
+    fn watch(&self, _: Topic, _: Revision, _: Duration) -> BoxFuture<'_, Result<Read, StoreError>> {
         Box::pin(ready(Err(StoreError::NoAnswer)))
     }
 
@@ -57,7 +67,8 @@
     }
 
     fn commit<'a>(&'a self, _: &'a Transaction) -> BoxFuture<'a, CommitResult> {
-        Box::pin(ready(CommitResult::Unknown))
+        let commit = self.commit.clone();
+        Box::pin(ready(commit.unwrap_or(CommitResult::Unknown)))
     }
 }
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -353,7 +353,7 @@
                     let state = entry.as_ref().map(|it| it.state);
                     let address = entry.as_ref().map(|it| it.address);
                     log::info!(
-                        target_name = &**name, rev, state:?, address:?, left_out;
+                        target_name = &**name, rev:%, state:?, address:?, left_out;
                         "a target changed"
                     );
                 }
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -3,10 +3,11 @@
 use super::*;
 use crate::{
     fake::node,
+    ports::Revision,
     state::{TargetEntry, TargetState},
 };
 
-fn target(name: &str, rev: u64) -> Event {
+fn target(name: &str, number: u64) -> Event {
     let entry = TargetEntry {
         service: "archive".into(),
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
@@ -16,6 +17,10 @@
         cold_ms: 0,
         started_ms: 1,
     };
+    let rev = Revision {
+        generation: 0,
+        number,
+    };
     Event::Target(name.into(), rev, Some(entry))
 }
 
--- a/crates/router/src/observe/store.rs
+++ b/crates/router/src/observe/store.rs
@@ -11,7 +11,7 @@
 use process::BootClock;
 
 use super::Metrics;
-use crate::ports::{CommitResult, OwnRows, Read, Store, StoreError, Topic, Transaction};
+use crate::ports::{CommitResult, OwnRows, Read, Revision, Store, StoreError, Topic, Transaction};
 
 /// A store whose calls are counted.
 pub struct ObservedStore {
@@ -71,7 +71,7 @@
     fn watch(
         &self,
         topic: Topic,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> BoxFuture<'_, Result<Read, StoreError>> {
         Box::pin(async move {
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::HostInfo;
-use crate::state::TargetEntry;
+use crate::{ports::Revision, state::TargetEntry};
 
 /// Events that are kept for hosts that lag; a host that lags further is sent the full state.
 const MAX_EVENTS: usize = 512;
@@ -18,7 +18,7 @@
     /// A version of the configuration.
     Catalog(Arc<Catalog>),
     /// A target as of a revision of the store; `None` if it is gone.
-    Target(Arc<str>, u64, Option<TargetEntry>),
+    Target(Arc<str>, Revision, Option<TargetEntry>),
     /// A slice of a service.
     Slice(Arc<str>, Slice),
     /// All hosts that serve.
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -4,10 +4,12 @@
 //! platform, and the adapter makes no decisions.
 
 mod protocol_profile;
+mod revision;
 mod store;
 mod target_api;
 
 pub use protocol_profile::{ProtocolProfile, RefusalStatus};
+pub use revision::Revision;
 pub use store::{
     CommitResult, OwnRow, OwnRows, Read, Record, Store, StoreError, Topic, Transaction, Update,
 };
--- a/crates/router/src/ports/store.rs
+++ b/crates/router/src/ports/store.rs
@@ -8,6 +8,7 @@
 use routing::Catalog;
 use thiserror::Error;
 
+use super::Revision;
 use crate::state::TargetEntry;
 
 /// A set of records that others write to the store.
@@ -32,7 +33,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
     /// The revision.
-    pub rev: u64,
+    pub rev: Revision,
     /// The update.
     pub update: Update,
 }
@@ -43,7 +44,7 @@
     /// The records in the order of their revisions.
     pub records: Vec<Record>,
     /// The revision after which a watch continues.
-    pub rev: u64,
+    pub rev: Revision,
 }
 
 /// A row of the router's own table.
@@ -52,7 +53,7 @@
     /// Its name.
     pub name: String,
     /// The revision at which it was written.
-    pub rev: u64,
+    pub rev: Revision,
     /// Its value.
     pub value: Vec<u8>,
 }
@@ -64,14 +65,17 @@
     pub rows: Vec<OwnRow>,
     /// Time of the store's clock.
     pub store_ms: Millis,
+    /// The store's generation.
+    pub generation: u64,
 }
 
 /// An atomic change of the router's own rows.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Transaction {
-    /// Revisions that rows must have for the transaction to apply; 0 means that the row must not
-    /// exist.
-    pub expected: Vec<(String, u64)>,
+    /// Revisions that rows must have for the transaction to apply; the number 0 means that the row
+    /// must not exist. The store compares the numbers only: if it has come back from a copy, a
+    /// transaction may be applied although another host wrote the row.
+    pub expected: Vec<(String, Revision)>,
     /// Rows to write.
     pub puts: Vec<(String, Vec<u8>)>,
     /// Rows to remove.
@@ -84,7 +88,7 @@
     /// It was applied.
     Applied {
         /// Its revision.
-        rev: u64,
+        rev: Revision,
         /// Time of the store's clock.
         store_ms: Millis,
     },
@@ -117,11 +121,12 @@
     /// Reads all records of a topic.
     fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Read, StoreError>>;
 
-    /// Waits at most `wait` for records after the revision `after`.
+    /// Waits at most `wait` for records after the revision `after`. Fails with
+    /// [`StoreError::HistoryGone`] if the store has another generation.
     fn watch(
         &self,
         topic: Topic,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> BoxFuture<'_, Result<Read, StoreError>>;
 
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -8,19 +8,20 @@
 use coordinator::Millis;
 
 use super::TargetEntry;
+use crate::ports::Revision;
 
 /// The registered targets. An update replaces an older one; a removal leaves a tombstone with its
 /// revision, so that an older entry is not restored.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     known: BTreeMap<Arc<str>, KnownTarget>,
-    tombstones: HashMap<Arc<str>, u64>,
+    tombstones: HashMap<Arc<str>, Revision>,
     version: u64,
 }
 
 #[derive(Clone, Debug)]
 struct KnownTarget {
-    rev: u64,
+    rev: Revision,
     entry: Arc<TargetEntry>,
     /// When the entry was removed; the target may still run.
     gone_since: Option<Millis>,
@@ -31,7 +32,7 @@
     pub fn apply(
         &mut self,
         name: &Arc<str>,
-        rev: u64,
+        rev: Revision,
         entry: Option<TargetEntry>,
         now: Millis,
     ) -> bool {
@@ -88,7 +89,7 @@
 
     /// Names of the registered targets that are missing from a complete list as of `rev`.
     #[must_use]
-    pub fn missing_from(&self, names: &[Arc<str>], rev: u64) -> Vec<Arc<str>> {
+    pub fn missing_from(&self, names: &[Arc<str>], rev: Revision) -> Vec<Arc<str>> {
         let mut missing = Vec::new();
         for (name, known) in &self.known {
             if known.gone_since.is_none() && known.rev <= rev && !names.contains(name) {
@@ -100,7 +101,7 @@
 
     /// All known targets with their revisions; removed targets without their entry.
     #[must_use]
-    pub fn revisions(&self) -> Vec<(Arc<str>, u64, Option<TargetEntry>)> {
+    pub fn revisions(&self) -> Vec<(Arc<str>, Revision, Option<TargetEntry>)> {
         let mut all = Vec::new();
         for (name, known) in &self.known {
             let entry = known.gone_since.is_none().then(|| (*known.entry).clone());
