Keep targets that left as they are when a restored store lists them as ready

Callers saw: requests could be sent to targets that were draining or gone, and targets that joined after the copy counted as gone at once.

Cause: the entries of a restored store have revisions of a new generation, but may be older than what hosts know. A list read after the restore lacks the targets that registered after the copy; they are back within about two seconds.

- Targets that are missing from a list count as gone only 2 s after a host has learned of the new generation; the list is then read again.

Limits: a target whose removal was forgotten (20 s) can come back if the copy is older than that, until the store removes its entry.

--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -44,11 +44,17 @@
 pub async fn watch(node: Arc<Node>, topic: Topic, sync_times: Arc<SyncTimes>) {
     let mut rev = None;
     let mut outage: Option<Millis> = None;
+    let mut read_again_at: Option<Millis> = None;
     loop {
         let sent = node.clock.now();
+        let mut wait = WATCH_TIMEOUT;
+        if let Some(at) = read_again_at {
+            wait = wait.min(Duration::from_millis(at.saturating_sub(sent)));
+            rev = rev.filter(|_| sent < at);
+        }
         let read = match rev {
             None => node.store.read(topic).await,
-            Some(rev) => node.store.watch(topic, rev, WATCH_TIMEOUT).await,
+            Some(rev) => node.store.watch(topic, rev, wait).await,
         };
         match read {
             Ok(read) => {
@@ -62,7 +68,10 @@
                 } else {
                     last_rev.max(rev)
                 };
-                apply(&node, topic, read, complete);
+                let again_at = apply(&node, topic, read, complete);
+                if complete {
+                    read_again_at = again_at;
+                }
                 let at = if complete { sent } else { node.clock.now() };
                 sync_times.record(&node, topic, at);
                 outage = None;
@@ -93,7 +102,10 @@
     }
 }
 
-fn apply(node: &Node, topic: Topic, read: Read, complete: bool) {
+/// Applies the result of a read. If targets that are missing from a complete list do not count as
+/// gone yet, returns when the list must be read again.
+fn apply(node: &Node, topic: Topic, read: Read, complete: bool) -> Option<Millis> {
+    node.on_generation(read.rev.generation);
     let mut events = Vec::new();
     let mut names = Vec::new();
     for record in read.records {
@@ -105,11 +117,17 @@
             }
         });
     }
+    let mut read_again_at = None;
     if complete && topic == Topic::Targets {
+        let complete_at = node.targets().complete_at();
+        read_again_at = Some(complete_at).filter(|it| node.clock.now() < *it);
+    }
+    if complete && topic == Topic::Targets && read_again_at.is_none() {
         let missing = node.targets().missing_from(&names, read.rev);
         for name in missing {
             events.push(Event::Target(name, read.rev, None));
         }
     }
     node.announce(events);
+    read_again_at
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -309,6 +309,12 @@
             && !*self.stopping.borrow()
     }
 
+    /// Records that the store has `generation`.
+    pub fn on_generation(&self, generation: u64) {
+        self.targets_mut()
+            .on_generation(generation, self.clock.now());
+    }
+
     /// Drops targets that were removed before `before`.
     pub fn forget_targets(&self, before: Millis) {
         self.targets_mut().forget(before);
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -16,6 +16,7 @@
         state: TargetState::Ready,
         cold_ms: 0,
         started_ms: 1,
+        heartbeats: 1,
     };
     let rev = Revision {
         generation: 0,
--- a/crates/router/src/state/target.rs
+++ b/crates/router/src/state/target.rs
@@ -32,9 +32,18 @@
     /// Start time of its process, in milliseconds of its wall clock; 0 if unknown.
     #[serde(rename = "born")]
     pub started_ms: u64,
+    /// Number of heartbeats with which its process had reported when it wrote the entry; 0 if
+    /// unknown.
+    pub heartbeats: u64,
 }
 
 impl TargetEntry {
+    /// Whether the target wrote this entry after `other`.
+    #[must_use]
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        (self.started_ms, self.heartbeats) > (other.started_ms, other.heartbeats)
+    }
+
     /// The incarnation of the target that the entry describes.
     #[must_use]
     pub fn incarnation(&self, name: &Arc<str>) -> Incarnation {
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -10,13 +10,31 @@
 use super::TargetEntry;
 use crate::ports::Revision;
 
+/// Time after the return of the store from a copy within which the running targets have registered
+/// again.
+const REGISTER_AGAIN_MS: u64 = 2_000;
+
 /// The registered targets. An update replaces an older one; a removal leaves a tombstone with its
 /// revision, so that an older entry is not restored.
+///
+/// The rows of a store that has come back from a copy have revisions of a new generation but may be
+/// older than what is known. Therefore the first entry of a target in a new generation counts only
+/// if the target wrote it later than the known one.
 #[derive(Clone, Debug, Default)]
 pub struct Targets {
     known: BTreeMap<Arc<str>, KnownTarget>,
     tombstones: HashMap<Arc<str>, Revision>,
     version: u64,
+    generations: Option<Generations>,
+}
+
+/// The generations of the store that this host has seen.
+#[derive(Clone, Copy, Debug)]
+struct Generations {
+    earliest: u64,
+    latest: u64,
+    /// When this host learned of the latest one.
+    latest_since: Millis,
 }
 
 #[derive(Clone, Debug)]
@@ -36,6 +54,7 @@
         entry: Option<TargetEntry>,
         now: Millis,
     ) -> bool {
+        self.on_generation(rev.generation, now);
         let seen = self.known.get(name).map(|it| it.rev);
         if seen.max(self.tombstones.get(name).copied()) >= Some(rev) {
             return false;
@@ -50,6 +69,13 @@
             self.version += u64::from(newly_gone);
             return newly_gone;
         };
+        if let Some(known) = self.known.get_mut(name)
+            && known.rev.generation < rev.generation
+            && !entry.is_newer_than(&known.entry)
+        {
+            known.rev = rev;
+            return false;
+        }
         self.tombstones.remove(name);
         let entry = Arc::new(entry);
         let gone_since = None;
@@ -63,6 +89,30 @@
         true
     }
 
+    /// Records that the store had `generation` at `now`, or that another host has seen it.
+    pub fn on_generation(&mut self, generation: u64, now: Millis) {
+        let seen = self.generations.get_or_insert(Generations {
+            earliest: generation,
+            latest: generation,
+            latest_since: now,
+        });
+        seen.earliest = seen.earliest.min(generation);
+        if generation > seen.latest {
+            seen.latest = generation;
+            seen.latest_since = now;
+        }
+    }
+
+    /// Returns when a target that is missing from the store counts as gone: running targets
+    /// register again after the store has come back from a copy.
+    #[must_use]
+    pub fn complete_at(&self) -> Millis {
+        match self.generations {
+            Some(seen) if seen.earliest < seen.latest => seen.latest_since + REGISTER_AGAIN_MS,
+            Some(_) | None => 0,
+        }
+    }
+
     /// A number that increases with each change.
     #[must_use]
     pub fn version(&self) -> u64 {
@@ -121,3 +171,6 @@
             .retain(|_, it| it.gone_since.is_none_or(|gone_since| gone_since >= before));
     }
 }
+
+#[cfg(test)]
+mod tests;
