Recover the owners of keys when the store has lost their rows

Cause: the rows that tell a new coordinator which targets may hold which keys were older than the last assignments. It trusted them and granted keys to earlier owners while later ones, whose grants had been extended during the outage, still held them. The term of the lease also went back, so that fencing tokens were given out again.

Class of fault: a record that was acknowledged, and on which exclusion rests, is assumed never to be lost.

- The lease row states for which generation of the store the slice rows are complete.
A coordinator that finds another generation, or no lease although it knows slices, recovers the owners.
- It merges the rows with the slices that this host remembers; the higher token wins.
Every known target is told to release all keys that it is not believed to own, with a token of the new term, in one order for each contiguous range.
A slice is granted when all these releases for its keys are answered, or after the longest grant of an earlier coordinator, counted from the end of the latest lease that one can have.
Owners keep their keys meanwhile.
- Targets that were draining or gone cannot have been assigned keys since, so their silence only delays slices whose owner had not confirmed them.
- A host that knows no target of an earlier generation grants nothing before the longest grant has ended.
- Terms are above generation << 16 and above any term that the host has heard of.
Tokens stay below 2^53 for 8,191 generations.

Ruled out: revisions alone.

--- a/crates/coordinator/src/lease.rs
+++ b/crates/coordinator/src/lease.rs
@@ -27,11 +27,28 @@
     /// Random number that differs between the writes of one holder, so that it recognises a write
     /// of its own whose answer was lost.
     pub nonce: u64,
+    /// Generation of the store for which the slice rows are known to name every target that may
+    /// hold keys. In another generation, the store has lost rows since.
+    #[serde(default)]
+    pub complete_in: Option<u64>,
 }
 
+/// Number of low bits of a term that count the tenures within a generation of the store.
+///
+/// Fencing tokens add 24 bits and stay below 2^53, the limit of exact integers in JSON, for 8,191
+/// generations.
+const TENURE_BITS: u32 = 16;
+
 impl LeaseRow {
     /// Name of the row.
     pub const NAME: &'static str = "lease";
+
+    /// Returns the term of the next tenure, after the latest one that is known. It is also above
+    /// the terms of earlier generations that the store has lost.
+    #[must_use]
+    pub fn next_term(known: u64, generation: u64) -> u64 {
+        known.max(generation << TENURE_BITS) + 1
+    }
 }
 
 /// One reading of the store's clock, which showed `value` at some time between `sent` and
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -21,7 +21,7 @@
 pub use row::{RowError, SliceRow};
 pub use slice::{FencingToken, Incarnation, Phase, Slice};
 pub use slice_manager::{
-    GrantOutcome, GrantTiming, Order, OrderId, OrderKind, ReleaseOutcome, SliceManager,
+    GrantOutcome, GrantTiming, Memory, Order, OrderId, OrderKind, ReleaseOutcome, SliceManager,
 };
 pub use table::SliceTable;
 
--- a/crates/coordinator/src/slice_manager.rs
+++ b/crates/coordinator/src/slice_manager.rs
@@ -11,6 +11,7 @@
 mod lost_orders;
 mod order;
 mod previous_owner;
+mod recovery;
 mod rows;
 mod unresponsive;
 
@@ -19,14 +20,18 @@
     sync::Arc,
 };
 
-pub use self::order::{GrantOutcome, GrantTiming, Order, OrderId, OrderKind, ReleaseOutcome};
 use self::{
     entry::Entry,
     lost_orders::LostOrders,
     order::InFlightOrder,
     previous_owner::{InterimGrant, PreviousOwner},
+    recovery::Recovery,
     unresponsive::{PROBE_INTERVAL_MS, Unresponsive},
 };
+pub use self::{
+    order::{GrantOutcome, GrantTiming, Order, OrderId, OrderKind, ReleaseOutcome},
+    recovery::Memory,
+};
 use crate::{FencingToken, Incarnation, Key, KeyRange, Millis, Phase, Slice, SliceRow};
 
 /// Time after a grant within which a refused request is assumed to have been sent before the grant
@@ -57,6 +62,8 @@
     /// Targets with an undelivered or unanswered grant and no successful order since.
     unresponsive: BTreeMap<Arc<str>, Unresponsive>,
     lost_orders: LostOrders,
+    /// Set while targets that the slices do not name may hold keys.
+    recovery: Option<Recovery>,
     /// First keys of the slices that changed since the last call of `take_changed`.
     changed: BTreeSet<Key>,
 }
@@ -86,6 +93,7 @@
             stored: BTreeMap::new(),
             unresponsive: BTreeMap::new(),
             lost_orders: LostOrders::default(),
+            recovery: None,
             changed: BTreeSet::new(),
         };
         let until = now + timing.max_hold_with_drift_ms();
@@ -188,8 +196,11 @@
     /// `now`.
     pub fn step(&mut self, now: Millis) -> Vec<Order> {
         let mut orders = Vec::new();
+        let blocked = self.step_recovery(&mut orders, now);
         for entry in self.entries.values_mut() {
             let range = entry.range;
+            // A renewal gives the owner no keys that it does not hold already.
+            let may_grant = entry.granted || !blocked.contains_any(range);
             entry.drop_cleared_owners(now);
             let is_running = |incarnation: &Incarnation| {
                 self.incarnations.get(&incarnation.target) == Some(&incarnation.started_ms)
@@ -199,7 +210,9 @@
                     continue;
                 }
                 let id = OrderId(self.next_order_id);
-                let (token, kind) = if let Some(token) = previous.due_grant(now) {
+                let (token, kind) = if let Some(token) = previous.due_grant(now)
+                    && may_grant
+                {
                     previous.inflight_grant = Some(id);
                     let hold_ms = self.hold_ms;
                     let handover = None;
@@ -219,12 +232,13 @@
                     kind,
                 });
             }
-            if !entry.is_grant_due(now) || !is_running(&entry.owner) {
+            if !may_grant || !entry.is_grant_due(now) || !is_running(&entry.owner) {
                 continue;
             }
             let id = OrderId(self.next_order_id);
             self.next_order_id += 1;
             entry.inflight_grant = Some(id);
+            entry.granted = true;
             orders.push(Order {
                 id,
                 incarnation: entry.owner.clone(),
@@ -340,6 +354,9 @@
             ReleaseOutcome::NoAnswer => self.lost_orders.record(now, true),
         }
         let retry_ms = self.timing.retry_ms;
+        if let Some(recovery) = &mut self.recovery {
+            recovery.on_release(id, &sent.incarnation, outcome, now + retry_ms);
+        }
         for entry in self.entries.values_mut() {
             let is_covered = entry.range.intersection(sent.range) == Some(entry.range);
             if !is_covered {
--- a/crates/coordinator/src/slice_manager/entry.rs
+++ b/crates/coordinator/src/slice_manager/entry.rs
@@ -17,6 +17,8 @@
     pub(super) previous_owners: SmallVec<[PreviousOwner; 1]>,
     /// Whether the store names the owner.
     pub(super) recorded: bool,
+    /// Whether this coordinator has granted the keys to the owner.
+    pub(super) granted: bool,
     /// Latest end of the owner's hold; 0 if it was never granted the keys.
     pub(super) until: Millis,
     /// When the next grant to the owner is due.
@@ -38,6 +40,7 @@
             phase: Phase::Pending,
             previous_owners: SmallVec::new(),
             recorded: false,
+            granted: false,
             until: 0,
             renew_at: 0,
             inflight_grant: None,
--- a/crates/coordinator/src/slice_manager/rows.rs
+++ b/crates/coordinator/src/slice_manager/rows.rs
@@ -85,6 +85,6 @@
 
 /// Whether two rows differ at most in the fencing token, so that they tell the next coordinator the
 /// same.
-fn is_equivalent(a: &SliceRow, b: &SliceRow) -> bool {
+pub(super) fn is_equivalent(a: &SliceRow, b: &SliceRow) -> bool {
     a.range == b.range && a.owner == b.owner && a.previous_owners == b.previous_owners
 }
--- a/crates/coordinator/tests/safety.rs
+++ b/crates/coordinator/tests/safety.rs
@@ -4,11 +4,14 @@
 //! that loses, delays and reorders orders and answers. Coordinators crash and are replaced, and the
 //! store comes back from earlier copies of its rows.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use coordinator::{
-    GrantOutcome, GrantTiming, Incarnation, KeyRange, Order, OrderId, OrderKind, ReleaseOutcome,
-    SliceManager, SliceRow,
+    GrantOutcome, GrantTiming, Incarnation, KeyRange, Memory, Order, OrderId, OrderKind,
+    ReleaseOutcome, Slice, SliceManager, SliceRow,
 };
 use proptest::prelude::*;
 
@@ -22,6 +25,9 @@
     drift_percent: 2,
 };
 
+/// Longest time from the sending of an order to its arrival.
+const MAX_TRANSIT_MS: u64 = 100;
+
 /// A target with its fencing state.
 #[derive(Clone, Debug, Default)]
 struct Target {
@@ -57,7 +63,7 @@
     /// The token of a release counts as seen, so later grants with lower tokens are refused. The
     /// users' back ends do the same.
     fn release(&mut self, order: &Order) {
-        for key in order.range.first..=order.range.last {
+        for key in modelled_keys(order) {
             self.hold_ends.remove(&key);
             let seen = self.seen_tokens.entry(key).or_default();
             *seen = order.token.max(*seen);
@@ -65,6 +71,11 @@
     }
 }
 
+/// Returns the keys of an order that the model has.
+fn modelled_keys(order: &Order) -> std::ops::RangeInclusive<u16> {
+    order.range.first..=order.range.last.min(KEYS - 1)
+}
+
 /// Returns the end of a hold on a target whose clock runs 2% slow.
 fn latest_end(arrived: u64, order: &Order) -> u64 {
     match order.kind {
@@ -113,6 +124,9 @@
     /// takes over.
     Restore {
         lost: usize,
+        /// Number of the latest published slices that the new coordinator does not remember; `None`
+        /// if it remembers nothing.
+        missed: Option<usize>,
     },
 }
 
@@ -139,7 +153,8 @@
 fn event_or_restore() -> impl Strategy<Value = Event> {
     prop_oneof![
         30 => event(),
-        1 => (1..20_usize).prop_map(|lost| Event::Restore { lost }),
+        1 => (1..20_usize, prop::option::weighted(0.9, 0..4_usize))
+            .prop_map(|(lost, missed)| Event::Restore { lost, missed }),
     ]
 }
 
@@ -180,6 +195,14 @@
     rows: BTreeMap<String, SliceRow>,
     /// The rows before each write.
     copies: Vec<BTreeMap<String, SliceRow>>,
+    /// The slices that the coordinators published to hosts.
+    published: Vec<Slice>,
+    /// Targets that left and have not been assigned keys since.
+    departed: BTreeSet<Arc<str>>,
+    /// Whether the rows name every target that may hold keys.
+    rows_complete: bool,
+    /// What coordinators do not remember; see [`Event::Restore`].
+    missed: Option<usize>,
     /// A write that was applied, but whose answer was lost. The next write is refused, because the
     /// lease has another revision; its answer shows that this one was applied.
     unanswered_write: Option<(Vec<SliceRow>, Vec<String>)>,
@@ -207,6 +230,10 @@
             targets,
             rows: BTreeMap::new(),
             copies: Vec::new(),
+            published: Vec::new(),
+            departed: BTreeSet::new(),
+            rows_complete: true,
+            missed: None,
             unanswered_write: None,
             manager: SliceManager::new("s".into(), 1, TIMING, Vec::new(), 100_000),
             arrivals: BTreeMap::new(),
@@ -226,6 +253,7 @@
                 target,
             } => {
                 let range = KeyRange::new(first, last);
+                self.departed.remove(&name(target));
                 let incarnation = self.incarnation(target);
                 self.manager.assign(range, &incarnation, self.now);
             }
@@ -238,15 +266,21 @@
                     ..Target::default()
                 };
             }
-            Event::Leave(target) => self.targets[target].registered = false,
-            Event::Join(target) => self.targets[target].registered = true,
+            Event::Leave(target) => {
+                self.targets[target].registered = false;
+                self.departed.insert(name(target));
+            }
+            Event::Join(target) => {
+                self.targets[target].registered = true;
+                self.departed.remove(&name(target));
+            }
             Event::Refuse { key, target } => {
                 let name = name(target);
                 self.manager.on_request_refused(key, &name, self.now);
             }
             Event::ExtendGrants(extended) => self.manager.set_extended_grants(extended, self.now),
             Event::Crash => self.crash(),
-            Event::Restore { lost } => self.restore(lost),
+            Event::Restore { lost, missed } => self.restore(lost, missed),
         }
         self.step();
         self.check();
@@ -342,6 +376,7 @@
         for order in self.manager.step(self.now) {
             self.send(order);
         }
+        self.published.extend(self.manager.take_changed());
     }
 
     fn send(&mut self, order: Order) {
@@ -397,6 +432,8 @@
         }
         let (puts, removes) = self.manager.rows_to_write(2);
         if applied {
+            let has_all = puts.len() + removes.len() < 2;
+            self.rows_complete |= has_all && self.manager.is_recovered();
             self.copies.push(self.rows.clone());
             for name in &removes {
                 self.rows.remove(name);
@@ -412,24 +449,49 @@
         }
     }
 
-    /// Replaces the coordinator by one that knows only the rows in the store.
+    /// Replaces the coordinator by one that knows the rows in the store, and what it remembers if
+    /// the rows do not name every holder.
     fn crash(&mut self) {
         self.term += 1;
         self.unanswered_write = None;
         let rows = self.rows.values().map(|row| {
             SliceRow::parse(&row.name(), &row.value()).expect("the rows are well-formed")
         });
-        let rows = rows.collect();
-        self.manager = SliceManager::new("s".into(), self.term, TIMING, rows, self.now);
+        let rows: Vec<_> = rows.collect();
+        let service = "s".into();
+        self.manager = if self.rows_complete {
+            SliceManager::new(service, self.term, TIMING, rows, self.now)
+        } else {
+            let memory = self.memory();
+            SliceManager::recover(service, self.term, TIMING, &rows, memory, self.now)
+        };
+    }
+
+    fn memory(&self) -> Memory {
+        let published = self.published.len();
+        let known = published.saturating_sub(self.missed.unwrap_or(usize::MAX));
+        let departed = match self.missed {
+            Some(0) => self.departed.clone(),
+            Some(_) | None => BTreeSet::new(),
+        };
+        Memory {
+            slices: self.published[..known].to_vec(),
+            knows_targets: self.missed.is_some(),
+            departed,
+            lease_end: self.now + MAX_TRANSIT_MS,
+        }
     }
 
-    /// Undoes the last `lost` writes and replaces the coordinator.
-    fn restore(&mut self, lost: usize) {
+    /// Undoes the last `lost` writes and replaces the coordinator by one that does not remember the
+    /// last `missed` published slices.
+    fn restore(&mut self, lost: usize, missed: Option<usize>) {
         let kept = self.copies.len().saturating_sub(lost);
         self.copies.truncate(kept + 1);
         if let Some(copy) = self.copies.pop() {
             self.rows = copy;
         }
+        self.rows_complete = false;
+        self.missed = missed;
         self.crash();
     }
 
--- a/crates/router/src/control/lease.rs
+++ b/crates/router/src/control/lease.rs
@@ -34,6 +34,13 @@
     pub until: Millis,
 }
 
+impl Lease {
+    /// Whether the slice rows name every target that may hold keys.
+    pub fn are_rows_complete(&self) -> bool {
+        self.row.complete_in == Some(self.rev.generation)
+    }
+}
+
 impl LeaseView {
     /// Reads the lease; `None` if the store does not answer.
     pub async fn read(node: &Node) -> Option<Self> {
@@ -78,12 +85,20 @@
 
     /// Tries to take the lease, which must be free; `None` if that failed or its result is unknown.
     pub async fn take(&self, node: &Node) -> Option<Lease> {
+        let generation = self.rev.generation;
+        let known_term = self.row.as_ref().map_or(0, |it| it.term);
+        let known_term = known_term.max(node.feed().position().term);
         let row = LeaseRow {
             host: node.settings.host.clone(),
             peer: node.info.peer,
-            term: self.row.as_ref().map_or(1, |it| it.term + 1),
+            term: LeaseRow::next_term(known_term, generation),
             until: self.clock.earliest_time(node.clock.now()) + LEASE_MS,
             nonce: rand::random(),
+            complete_in: match &self.row {
+                Some(row) => row.complete_in,
+                // Without a lease no target was granted keys, unless the store has lost it.
+                None => Some(generation).filter(|_| node.tables().is_empty()),
+            },
         };
         let transaction = Transaction {
             expected: vec![(LeaseRow::NAME.to_owned(), self.rev)],
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -3,6 +3,7 @@
 mod commit;
 mod crashes;
 mod host_registry;
+mod lost_rows;
 mod plan;
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
@@ -16,6 +17,7 @@
     commit::{FinishedWrite, LeaseWrite},
     crashes::Crashes,
     host_registry::HostRegistry,
+    lost_rows::LostRows,
 };
 use super::{
     lease::Lease,
@@ -122,6 +124,8 @@
     balance_at: Millis,
     /// The slices that the store held when the tenure began.
     rows: Vec<SliceRow>,
+    /// Set if the store had lost rows when the tenure began.
+    lost_rows: Option<LostRows>,
     services: BTreeMap<Arc<str>, KeyedService>,
     registry: HostRegistry,
     crashes: Crashes,
@@ -139,6 +143,7 @@
         let now = node.clock.now();
         Self {
             registry: HostRegistry::new(&node.hosts.load(), node.info.clone(), now),
+            lost_rows: LostRows::detect(&node, &lease),
             node,
             lease,
             renew_at: now + RENEW_INTERVAL_MS,
--- a/crates/router/src/control/tenure/commit.rs
+++ b/crates/router/src/control/tenure/commit.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use coordinator::{LeaseRow, Millis, SliceRow, StoreClock};
+use routing::Ownership;
 
 use super::{Completion, RENEW_INTERVAL_MS, Tenure};
 use crate::{
@@ -89,33 +90,53 @@
     }
 
     fn prepare(&self, until: Millis) -> (LeaseWrite, Transaction) {
-        let row = LeaseRow {
+        let mut row = LeaseRow {
             until,
             nonce: rand::random(),
             ..self.lease.row.clone()
         };
-        let mut transaction = Transaction {
-            expected: vec![(LeaseRow::NAME.to_owned(), self.lease.rev)],
-            puts: vec![(LeaseRow::NAME.to_owned(), encode(&row))],
-            removes: Vec::new(),
-        };
         let mut batches = Vec::new();
         let mut rows_left = MAX_ROWS;
         for (service, keyed) in &self.services {
             let (puts, removes) = keyed.manager.rows_to_write(rows_left);
             rows_left -= puts.len() + removes.len();
-            let values = puts.iter().map(|it| (it.name(), it.value()));
-            transaction.puts.extend(values);
-            transaction.removes.extend(removes.iter().cloned());
             batches.push(Batch {
                 service: Arc::clone(service),
                 puts,
                 removes,
             });
         }
+        // With room left, the transaction contains all rows that differ.
+        if rows_left > 0 && self.is_recovered() {
+            row.complete_in = Some(self.lease.rev.generation);
+        }
+        let mut transaction = Transaction {
+            expected: vec![(LeaseRow::NAME.to_owned(), self.lease.rev)],
+            puts: vec![(LeaseRow::NAME.to_owned(), encode(&row))],
+            removes: Vec::new(),
+        };
+        for batch in &batches {
+            let values = batch.puts.iter().map(|it| (it.name(), it.value()));
+            transaction.puts.extend(values);
+            transaction.removes.extend(batch.removes.iter().cloned());
+        }
         (LeaseWrite { row, batches }, transaction)
     }
 
+    /// Whether the owners of all services with keys are recovered.
+    fn is_recovered(&self) -> bool {
+        let Some(catalog) = self.node.catalog.load_full() else {
+            return false;
+        };
+        let mut keyed = catalog
+            .services()
+            .filter(|it| it.ownership != Ownership::Shared);
+        keyed.all(|it| {
+            let keyed = self.services.get(&it.name);
+            keyed.is_some_and(|it| it.manager.is_recovered())
+        })
+    }
+
     /// Handles the result of a write.
     pub(super) fn on_written(&mut self, finished: FinishedWrite) {
         self.write_started = None;
--- a/crates/router/src/control/tenure/plan.rs
+++ b/crates/router/src/control/tenure/plan.rs
@@ -135,9 +135,17 @@
         let service_rows = self.rows.iter().filter(|it| it.service == *service);
         let timing = grant_timing(self.node.settings.bounds.max_hold);
         let term = self.lease.row.term;
-        let rows = service_rows.cloned().collect();
+        let rows: Vec<_> = service_rows.cloned().collect();
+        let name = Arc::clone(service);
+        let manager = match &self.lost_rows {
+            None => SliceManager::new(name, term, timing, rows, now),
+            Some(lost) => {
+                let memory = lost.memory(&self.node, service);
+                SliceManager::recover(name, term, timing, &rows, memory, now)
+            }
+        };
         KeyedService {
-            manager: SliceManager::new(Arc::clone(service), term, timing, rows, now),
+            manager,
             demand: Demand::new(),
             target_peak: (0, now),
         }
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -7,7 +7,7 @@
 
 use coordinator::Millis;
 
-use super::TargetEntry;
+use super::{TargetEntry, TargetState};
 use crate::ports::Revision;
 
 /// Time after the return of the store from a copy within which the running targets have registered
@@ -103,6 +103,20 @@
         }
     }
 
+    /// Whether this host knows targets of before `generation`.
+    #[must_use]
+    pub fn remembers_before(&self, generation: u64) -> bool {
+        self.generations.is_some_and(|it| it.earliest < generation)
+    }
+
+    /// The targets that are draining or gone.
+    pub fn departed(&self) -> impl Iterator<Item = &Arc<str>> {
+        let is_departed =
+            |it: &KnownTarget| it.gone_since.is_some() || it.entry.state == TargetState::Draining;
+        let departed = self.known.iter().filter(move |(_, it)| is_departed(it));
+        departed.map(|(name, _)| name)
+    }
+
     /// Returns when a target that is missing from the store counts as gone: running targets
     /// register again after the store has come back from a copy.
     #[must_use]
--- a/crates/router/src/state/targets/tests.rs
+++ b/crates/router/src/state/targets/tests.rs
@@ -1,7 +1,6 @@
 use std::net::SocketAddr;
 
 use super::*;
-use crate::state::TargetState;
 
 const NAME: &str = "a";
 
@@ -111,8 +110,10 @@
     let mut targets = Targets::default();
     targets.on_generation(3, 100);
     assert_eq!(targets.complete_at(), 0, "no restore was seen");
+    assert!(!targets.remembers_before(3));
     targets.on_generation(4, 500);
     targets.on_generation(4, 900);
     targets.on_generation(3, 950);
     assert_eq!(targets.complete_at(), 2_500);
+    assert!(targets.remembers_before(4));
 }
