Treat rows with previous owners as unconfirmed in a recovery

Callers could reach two targets that both held their key (OWNER) after two changes of the coordinator following a restore of the store.

Cause: a recovery took the owner of each row as the confirmed holder. A row that names previous owners was written while these still held the keys. If the previous owner was draining, its silence did not delay the grant to the next owner.

Change: such a slice counts as not settled, so it is granted only after its previous owners have released it or their grants have ended.

--- a/crates/coordinator/src/slice_manager/recovery.rs
+++ b/crates/coordinator/src/slice_manager/recovery.rs
@@ -87,7 +87,12 @@
         let mut table = SliceTable::new();
         for row in rows {
             manager.stored.insert(row.name(), row.clone());
-            table.merge(&row.slice());
+            let mut slice = row.slice();
+            // Its previous owners may hold the keys.
+            if !row.previous_owners.is_empty() {
+                slice.phase = Phase::Pending;
+            }
+            table.merge(&slice);
         }
         for slice in &memory.slices {
             table.merge(slice);
