--- a/crates/coordinator/src/slice_manager/recovery.rs
+++ b/crates/coordinator/src/slice_manager/recovery.rs
@@ -144,6 +144,8 @@
                 .releases
                 .entry(incarnation.clone())
                 .or_insert_with(|| self.releases_of_foreign_keys(&incarnation));
+            // A target has connections for a few orders only, so that it gets one after the other.
+            let mut idle = pending.iter().all(|it| it.in_flight.is_none());
             for release in pending {
                 if departed {
                     let shared = recovery.unsettled.iter();
@@ -151,9 +153,10 @@
                 } else {
                     blocked.push(release.range);
                 }
-                if release.in_flight.is_some() || now < release.retry_at {
+                if !idle || now < release.retry_at {
                     continue;
                 }
+                idle = false;
                 let id = OrderId(self.next_order_id);
                 self.next_order_id += 1;
                 release.in_flight = Some(id);
