--- a/crates/router/src/control/tenure/commit.rs
+++ b/crates/router/src/control/tenure/commit.rs
@@ -3,11 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use coordinator::{LeaseRow, Millis, SliceRow, StoreClock};
+use routing::Ownership;
 
 use super::{Completion, RENEW_INTERVAL_MS, Tenure};
 use crate::{
     control::lease::{LEASE_MS, encode},
-    ports::{CommitResult, OwnRows, Transaction},
+    ports::{CommitResult, OwnRows, Revision, Transaction},
 };
 
 /// Maximum number of rows that one transaction changes in addition to the lease; the store accepts
@@ -89,33 +90,53 @@
     }
 
     fn prepare(&self, until: Millis) -> (LeaseWrite, Transaction) {
-        let row = LeaseRow {
+        let mut row = LeaseRow {
             until,
             nonce: rand::random(),
             ..self.lease.row.clone()
         };
-        let mut transaction = Transaction {
-            expected: vec![(LeaseRow::NAME.to_owned(), self.lease.rev)],
-            puts: vec![(LeaseRow::NAME.to_owned(), encode(&row))],
-            removes: Vec::new(),
-        };
         let mut batches = Vec::new();
         let mut rows_left = MAX_ROWS;
         for (service, keyed) in &self.services {
             let (puts, removes) = keyed.manager.rows_to_write(rows_left);
             rows_left -= puts.len() + removes.len();
-            let values = puts.iter().map(|it| (it.name(), it.value()));
-            transaction.puts.extend(values);
-            transaction.removes.extend(removes.iter().cloned());
             batches.push(Batch {
                 service: Arc::clone(service),
                 puts,
                 removes,
             });
         }
+        // With room left, the transaction contains all rows that differ.
+        if rows_left > 0 && self.is_recovered() {
+            row.complete_in = Some(self.lease.rev.generation);
+        }
+        let mut transaction = Transaction {
+            expected: vec![(LeaseRow::NAME.to_owned(), self.lease.rev)],
+            puts: vec![(LeaseRow::NAME.to_owned(), encode(&row))],
+            removes: Vec::new(),
+        };
+        for batch in &batches {
+            let values = batch.puts.iter().map(|it| (it.name(), it.value()));
+            transaction.puts.extend(values);
+            transaction.removes.extend(batch.removes.iter().cloned());
+        }
         (LeaseWrite { row, batches }, transaction)
     }
 
+    /// Whether the owners of all services with keys are recovered.
+    fn is_recovered(&self) -> bool {
+        let Some(catalog) = self.node.catalog.load_full() else {
+            return false;
+        };
+        let mut keyed = catalog
+            .services()
+            .filter(|it| it.ownership != Ownership::Shared);
+        keyed.all(|it| {
+            let keyed = self.services.get(&it.name);
+            keyed.is_some_and(|it| it.manager.is_recovered())
+        })
+    }
+
     /// Handles the result of a write.
     pub(super) fn on_written(&mut self, finished: FinishedWrite) {
         self.write_started = None;
@@ -125,6 +146,9 @@
             commit,
         } = finished;
         match commit {
+            CommitResult::Applied { rev, .. } if !self.is_same_generation(rev) => {
+                self.superseded = true;
+            }
             CommitResult::Applied { rev, store_ms } => {
                 self.on_applied(write, rev, sent);
                 self.node.set_needs_successor(false);
@@ -157,8 +181,19 @@
         }
     }
 
+    /// Whether the store has not come back from a copy since this host last wrote the lease. If it
+    /// has, it may have given out the revision of the lease again, so that a write that expects this
+    /// revision can replace the lease of another host.
+    fn is_same_generation(&self, rev: Revision) -> bool {
+        let same = rev.generation == self.lease.rev.generation;
+        if !same {
+            log::warn!(generation = rev.generation; "the store has come back from a copy");
+        }
+        same
+    }
+
     /// Handles a write that the store has applied: this host holds the lease.
-    fn on_applied(&mut self, write: LeaseWrite, rev: u64, sent: Millis) {
+    fn on_applied(&mut self, write: LeaseWrite, rev: Revision, sent: Millis) {
         let LeaseWrite { row, batches } = write;
         self.lease.until = self.lease.clock.local_expiry(row.until);
         self.lease.rev = rev;
@@ -188,6 +223,10 @@
             self.superseded = true;
             return;
         };
+        if !self.is_same_generation(found.rev) {
+            self.superseded = true;
+            return;
+        }
         let Some(idx) = self.unconfirmed.iter().position(|it| it.row == row) else {
             log::warn!(holder = &*row.host; "another host holds the lease");
             self.superseded = true;
