Close a connection to a target after a refused request

What callers saw: a target wrote an earlier refusal once more on a kept connection. A request that it ran was refused with 503 ("not run, try again"), or a non-idempotent request ran twice.

Cause: the answer is tied to its request by the id of the attempt, but the same attempt can be sent twice on one connection: by a host after 421, by a host that returns to a data centre whose targets were full, by a caller that uses an id again, and by any two requests without an id. The first send's refusal, written once more, then has the id of the second one.

Fix: only a connection whose request was answered carries another one. A refusal that arrives on a connection can therefore only be that of the request that was sent on it last.

Ruled out: copies that follow the first one directly (no harm in any run; hyper closes an idle connection on which bytes arrive); HTTP/2 between hosts, which has no target as its other end; refusing to believe a second refusal of an attempt, which would make honest ones unknown; a new connection only for retries, which leaves ids that callers use again and requests without one.

--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -229,8 +229,22 @@
         // and the connection is not reused.
         return AttemptOutcome::Unknown(Reason::TargetLost);
     }
-    slot.pool.put_back(sender);
-    outcome_of_answer(node, parts, body)
+    let outcome = outcome_of_answer(node, parts, body);
+    if may_reuse(&outcome) {
+        slot.pool.put_back(sender);
+    }
+    outcome
+}
+
+/// Whether the connection of an exchange with this outcome may carry another request.
+///
+/// A faulty target may write a refusal once more. The repeated one cannot be distinguished from the
+/// answer to a later send of the same attempt on that connection, which the target runs.
+fn may_reuse(outcome: &AttemptOutcome) -> bool {
+    match outcome {
+        AttemptOutcome::Answered(_) => true,
+        AttemptOutcome::NotRun { .. } | AttemptOutcome::Unknown(_) => false,
+    }
 }
 
 fn outcome_of_answer(node: &Node, parts: Parts, body: Bytes) -> AttemptOutcome {
--- a/crates/router/src/gateway/exchange/tests.rs
+++ b/crates/router/src/gateway/exchange/tests.rs
@@ -83,3 +83,37 @@
         (RequestEnd::Failed, Some(admission::HealthOutcome::Failed))
     );
 }
+
+/// Guards against a refusal that is taken for the answer to a later send on the same connection.
+#[test]
+fn connections_carry_nothing_after_a_refusal() {
+    struct Case {
+        outcome: AttemptOutcome,
+        reusable: bool,
+    }
+    let refused = |reason| AttemptOutcome::NotRun {
+        reason,
+        offered: true,
+    };
+    let cases = [
+        Case {
+            outcome: AttemptOutcome::Answered(Response::default()),
+            reusable: true,
+        },
+        Case {
+            outcome: refused(Reason::Fenced),
+            reusable: false,
+        },
+        Case {
+            outcome: refused(Reason::TargetShed),
+            reusable: false,
+        },
+        Case {
+            outcome: AttemptOutcome::Unknown(Reason::TargetLost),
+            reusable: false,
+        },
+    ];
+    for Case { outcome, reusable } in cases {
+        assert_eq!(may_reuse(&outcome), reusable, "{outcome:?}");
+    }
+}
