--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -14,7 +14,11 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::{
+    net::TcpStream,
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
 
 /// Sender of requests on one connection.
 pub type Sender = SendRequest<Full<Bytes>>;
@@ -24,7 +28,7 @@
     address: SocketAddr,
     limit: AtomicUsize,
     idle: Mutex<Vec<Sender>>,
-    open: Arc<AtomicUsize>,
+    open: Arc<OpenCount>,
 }
 
 /// Whether a connection may have been used before.
@@ -94,19 +98,36 @@
                 }
             }
         }
-        if self.open.load(Ordering::Relaxed) >= self.limit.load(Ordering::Relaxed) {
+        let until = Instant::now() + timeout;
+        if self.is_full() {
             // Closes idle connections, so that the new one does not exceed the limit.
-            self.idle().clear();
-            tokio::task::yield_now().await;
-            if self.open.load(Ordering::Relaxed) >= self.limit.load(Ordering::Relaxed) {
+            let closed = std::mem::take(&mut *self.idle());
+            let is_any_open = closed.iter().any(|it| !it.is_closed());
+            drop(closed);
+            if !is_any_open || timeout_at(until, self.room()).await.is_err() {
                 return Err(ConnectError::Exhausted);
             }
         }
-        tokio::time::timeout(timeout, self.connect())
+        timeout_at(until, self.connect())
             .await
             .unwrap_or(Err(ConnectError::Unreachable))
     }
 
+    fn is_full(&self) -> bool {
+        self.open.number.load(Ordering::Relaxed) >= self.limit.load(Ordering::Relaxed)
+    }
+
+    /// Waits until another connection is allowed.
+    async fn room(&self) {
+        loop {
+            let closed = self.open.closed.notified();
+            if !self.is_full() {
+                return;
+            }
+            closed.await;
+        }
+    }
+
     /// Returns a connection to the pool after its last response was read completely.
     pub fn put_back(&self, sender: Sender) {
         if sender.is_closed() {
@@ -154,18 +175,27 @@
     }
 }
 
+/// The number of open connections.
+#[derive(Default)]
+struct OpenCount {
+    number: AtomicUsize,
+    /// Notified when a connection has been closed.
+    closed: Notify,
+}
+
 /// Counts one open connection until it is dropped.
-struct OpenGuard(Arc<AtomicUsize>);
+struct OpenGuard(Arc<OpenCount>);
 
 impl OpenGuard {
-    fn new(open: Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
+    fn new(open: Arc<OpenCount>) -> Self {
+        open.number.fetch_add(1, Ordering::Relaxed);
         Self(open)
     }
 }
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.number.fetch_sub(1, Ordering::Relaxed);
+        self.0.closed.notify_waiters();
     }
 }
