--- a/crates/sassafrasd/src/grants/tests.rs
+++ b/crates/sassafrasd/src/grants/tests.rs
@@ -8,7 +8,11 @@
     sample::select,
     test_runner::{Config, TestRunner},
 };
-use tokio::runtime::Runtime;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    runtime::Runtime,
+};
 
 use super::*;
 use crate::fake::FixedServer;
@@ -98,3 +102,43 @@
     let outcome = GrantClient::new().read(server.address).await;
     assert_eq!(outcome, GrantOutcome::Lost);
 }
+
+/// Answers each request on a connection with what it answered the first one: 409 on the first
+/// connection, 200 on all others.
+async fn repeat_first_answers(listener: TcpListener) {
+    let mut status = "409 Conflict";
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(answer_all(stream, status));
+        status = "200 OK";
+    }
+}
+
+async fn answer_all(mut stream: TcpStream, status: &str) {
+    let body = state(1, 1, 1);
+    let length = body.len();
+    let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
+    let mut received = Vec::new();
+    while let Ok(byte) = stream.read_u8().await {
+        received.push(byte);
+        if received.ends_with(b"\r\n\r\n") && stream.write_all(answer.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Guards against an earlier refusal of a faulty target that is taken for the answer to a later
+/// message, so that the gateway counts keys as not granted that the target holds.
+#[tokio::test]
+async fn repeated_refusal_answers_no_later_message() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(repeat_first_answers(listener));
+    let client = GrantClient::new();
+    let refused = client.read(address).await;
+    assert!(matches!(refused, GrantOutcome::Fenced(_)), "{refused:?}");
+    for message in 0..3 {
+        let outcome = client.read(address).await;
+        let accepted = matches!(outcome, GrantOutcome::Accepted(_));
+        assert!(accepted, "message {message}: {outcome:?}");
+    }
+}
