Close the connection to the grant endpoint after a refusal

What happened: a 409 that a target wrote once more on the kept connection was taken for the answer to the next message. The gateway cleared what it had granted and began with a new epoch, although the target may have carried the message out.

Cause: an answer with a grant state does not name its message, and the client kept the connection.

Fix: after any status other than 200 the connection is marked as unusable, so nothing is sent on it after a refusal.

Ruled out: requests of this mode, whose connection is dropped with a refusal (dispatch/attempt.rs); renewals, whose reply has the tag of the message. Open: a 200 with a grant state that is written once more is still taken for the answer to the next read, claim or order; a field that names the message would be needed in the grant protocol. Not tested: what the gateway does with such a state.

--- a/crates/sassafrasd/src/grants.rs
+++ b/crates/sassafrasd/src/grants.rs
@@ -6,7 +6,10 @@
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
+    client::legacy::{
+        Client,
+        connect::{CaptureConnection, HttpConnector, capture_connection},
+    },
     rt::TokioExecutor,
 };
 use ownership::{GRANT_TIMEOUT_MS, GrantOrder, GrantOutcome, GrantState, Renewal, RenewalReply};
@@ -74,14 +77,18 @@
         path: &str,
         body: Bytes,
     ) -> GrantOutcome {
-        let request = Request::builder()
+        let mut request = Request::builder()
             .method(method)
             .uri(format!("http://{address}{path}"))
             .body(Full::new(body))
             .expect("a socket address and a path form a URI");
+        let connection = capture_connection(&mut request);
         let exchange = async {
             let answer = self.client.request(request).await.ok()?;
             let status = answer.status();
+            if status != StatusCode::OK {
+                close_after_answer(&connection);
+            }
             let body = Limited::new(answer.into_body(), ANSWER_LIMIT_BYTES)
                 .collect()
                 .await
@@ -109,6 +116,14 @@
     }
 }
 
+/// Closes the connection after its current answer. A faulty target may write a refusal once more,
+/// which cannot be distinguished from the answer to a later message on that connection.
+fn close_after_answer(connection: &CaptureConnection) {
+    if let Some(connected) = connection.connection_metadata().as_ref() {
+        connected.poison();
+    }
+}
+
 /// Whether the clock, the epoch and the generations are below the limit.
 fn is_in_range(state: &GrantState) -> bool {
     let generations = state.held.iter().map(|it| it.generation);
