Limit the bytes that are read for one answer, and for all answers at once

What callers saw: while a target sent bytes without end, a request to it was answered 504 only at its time-out, and the host read for as long, into memory without bound: 1,499,620 kB at the peak with 100 requests at once, where a host has 260 MB and its process is killed.

Cause: hyper limits only a head that is incomplete. Informational answers are skipped and read on; bodies were collected whole (`body.collect()`) in the exchange with a target, in calls of the store, in orders and in forwarding. Only the time was bounded, by the deadline or the call's time-out.

Fix: one place, the crate `pool`. `Sender::fetch` reads whole answers; its connection has an allowance of bytes, 512 KB up to the head and twice the longest body after it, and `AnswerLimits` bounds one body and the total of the bodies that are being read. An answer beyond a limit is an error of the connection: the sender is dropped, which resets the connection, and the request is `unknown` (502, or sent again if idempotent), a write of the store `Unknown`, an order `NoAnswer`. Limits: 8 MB a body as for requests, 64 KB for orders, 64 KB a head, 64 MB for all bodies that a host reads (a quarter of 260 MB); the first 64 KB of each do not count, so that short answers are read while long ones use up the total.

A body of chunks of one byte is cut off at the deadline (504, unknown), before and after: it cannot be told from a slow body.

In the other mode: answers of the grant endpoint and of the platform had limits (4 MB, 64 MB) and time-outs; bodies for callers are streamed; the body of the answer to a probe now has a limit (64 KB; before, it was discarded while read, for up to 250 ms and `probe_ms`), and heads of targets that of `Sender`.

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -9,15 +9,10 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::HeaderValue;
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-/// Sender of requests on one connection.
-pub type Sender = SendRequest<Full<Bytes>>;
+use crate::Sender;
 
 /// A bounded set of HTTP/1.1 connections to one server.
 pub struct Pool {
@@ -136,7 +131,7 @@
         if let Err(err) = stream.set_zero_linger() {
             log::debug!("SO_LINGER cannot be set: {err}");
         }
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = Sender::new(stream)
             .await
             .map_err(|_| ConnectError::Unreachable)?;
         let open = OpenGuard::new(Arc::clone(&self.open));
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -9,7 +9,7 @@
 mod server;
 mod suspects;
 
-pub use request::{RoutedRequest, end_to_end};
+pub use request::{MAX_BODY_BYTES, RoutedRequest, end_to_end};
 pub use retry_budgets::RetryBudgets;
 pub use server::serve;
 pub use suspects::Suspects;
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -27,8 +27,9 @@
     "transfer-encoding",
 ];
 
-/// Longest body that the router accepts, whatever the configuration allows.
-const MAX_BODY_BYTES: usize = 8 << 20;
+/// Longest body of a request or an answer that the router carries, whatever the configuration
+/// allows.
+pub const MAX_BODY_BYTES: usize = 8 << 20;
 
 /// A request with its route, and in the form that is sent to gateways.
 #[derive(Clone, Debug)]
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use coordinator::{FencingToken, Key, Phase};
 use http::{HeaderValue, Request, Response, StatusCode, header, response::Parts};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use pool::{ConnectError, Freshness};
 use refusal::Reason;
 
@@ -205,22 +205,14 @@
         Err(ConnectError::Exhausted) => return AttemptOutcome::not_sent(Reason::TargetShed),
     };
     let request = request_of(node, &slot.incarnation.target, gateway_request);
-    let exchange = async {
-        let answer = sender.send_request(request).await?;
-        let (parts, body) = answer.into_parts();
-        let body = body.collect().await?.to_bytes();
-        Ok::<_, hyper::Error>((parts, body))
-    };
+    let exchange = sender.fetch(request, &node.answer_limits);
     let (parts, body) = match tokio::time::timeout(left, exchange).await {
         Err(_) => return AttemptOutcome::Unknown(Reason::DeadlineAfterStart),
         Ok(Err(err)) => {
-            log::debug!(
-                "a connection to target {} failed: {err}",
-                slot.incarnation.target
-            );
+            log::debug!("no answer of target {}: {err}", slot.incarnation.target);
             return AttemptOutcome::Unknown(Reason::TargetLost);
         }
-        Ok(Ok(answer)) => answer,
+        Ok(Ok(answer)) => answer.into_parts(),
     };
     if parts.headers.get(&node.profile.attempt)
         != gateway_request.headers.get(&node.profile.attempt)
--- a/crates/router/src/gateway/forward.rs
+++ b/crates/router/src/gateway/forward.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -98,10 +98,10 @@
                 }
             };
             let (parts, body) = answer.into_parts();
-            match body.collect().await {
-                Ok(body) => hop::outcome_of(http::Response::from_parts(parts, body.to_bytes())),
+            match node.answer_limits.read(body).await {
+                Ok(body) => hop::outcome_of(http::Response::from_parts(parts, body)),
                 Err(err) => {
-                    log::debug!("the answer of {address} was truncated: {err}");
+                    log::debug!("the answer of {address} is incomplete: {err}");
                     AttemptOutcome::Unknown(Reason::GatewayLost)
                 }
             }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -14,12 +14,13 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use coordinator::{Millis, SliceTable};
+use pool::AnswerLimits;
 use process::BootClock;
 use routing::{Catalog, Picker};
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
-    entry::{RetryBudgets, Suspects},
+    entry::{MAX_BODY_BYTES, RetryBudgets, Suspects},
     gateway::{AdmissionQueues, Forwarder, PoisonRequests},
     observe::{LineKind, LogLimiter, Metrics, ObservedStore},
     peers::{Event, Feed, HostInfo, Hosts, Position, Report, ReportReply},
@@ -32,6 +33,9 @@
 /// Slices by service.
 pub type Tables = HashMap<Arc<str>, SliceTable>;
 
+/// Most bytes of answers that are being read at the same time: a quarter of the 260 MB of a host.
+const MAX_ANSWERS_BYTES: usize = 64 << 20;
+
 /// State that the tasks of one host share.
 pub struct Node {
     /// The settings.
@@ -56,6 +60,8 @@
     pub hosts: ArcSwap<Hosts>,
     /// Admission queues of the targets whose gateway this host is.
     pub queues: AdmissionQueues,
+    /// Limits of the bodies of answers of targets and other gateways.
+    pub answer_limits: AnswerLimits,
     /// Connections to other gateways.
     pub forwarder: Forwarder,
     /// Retry budgets.
@@ -113,6 +119,7 @@
             target_api: ports.target_api,
             catalog: ArcSwapOption::empty(),
             queues: AdmissionQueues::new(clock),
+            answer_limits: AnswerLimits::new(MAX_BODY_BYTES, MAX_ANSWERS_BYTES),
             forwarder: Forwarder::new(),
             retry_budgets: RetryBudgets::new(
                 settings.bounds.retry_ratio,
--- a/crates/sassafrasd/src/probe.rs
+++ b/crates/sassafrasd/src/probe.rs
@@ -7,8 +7,8 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, header};
-use http_body_util::{BodyExt, Full};
-use pool::{Freshness, Sender};
+use http_body_util::Full;
+use pool::{AnswerLimits, Freshness, Sender};
 
 use crate::{dispatch::DRAINING, driver, gateway_target::GatewayTarget, host::Host};
 
@@ -18,6 +18,9 @@
 /// Timeout of a probe in addition to the `probe_ms` of the target.
 const EXTRA_TIMEOUT_MS: u64 = 250;
 
+/// Longest body of the answer to a probe, which is not used.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
 /// Path of a probe.
 const HEALTH_PATH: &str = "/health";
 
@@ -116,11 +119,9 @@
     *request.uri_mut() = http::Uri::from_static(HEALTH_PATH);
     let name = HeaderValue::from_static("target");
     request.headers_mut().insert(header::HOST, name);
-    let (head, mut body) = sender.send_request(request).await.ok()?.into_parts();
-    while let Some(frame) = body.frame().await {
-        frame.ok()?;
-    }
-    Some(head.headers)
+    let limits = AnswerLimits::new(MAX_ANSWER_BYTES, MAX_ANSWER_BYTES);
+    let answer = sender.fetch(request, &limits).await.ok()?;
+    Some(answer.into_parts().0.headers)
 }
 
 fn end_drain(host: &Host, gateway_target: &GatewayTarget) {
