Do not watch a change again that cannot be used

What was seen: after the operator's row held no valid configuration, the coordinator asked the store for changes 1,581 times within a second, each answered at once with the same row, and went on so until the next valid one.

Cause: a watch continued from the newest revision among its records. A row of the operator that has no record (an invalid configuration, a row with another name) did not advance it. Rows of targets always have a record and were not affected.

Fix: an answer states the revision of its last change, whether or not it has a record, and the next watch continues from there. An answer without any change still does not advance the watch.

--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -53,14 +53,13 @@
         match read {
             Ok(read) => {
                 let complete = rev.is_none();
-                // A watch that returns no records may have missed some, so the next one continues
+                // A watch that returns no changes may have missed some, so the next one continues
                 // from the last revision received: the store then delivers what was missed, or
                 // reports that its history is gone.
-                let last_rev = read.records.iter().map(|it| it.rev).max();
                 rev = if complete {
                     Some(read.rev)
                 } else {
-                    last_rev.max(rev)
+                    read.last_rev.max(rev)
                 };
                 apply(&node, topic, read, complete);
                 let at = if complete { sent } else { node.clock.now() };
--- a/crates/router/src/ports/store.rs
+++ b/crates/router/src/ports/store.rs
@@ -42,7 +42,10 @@
 pub struct Read {
     /// The records in the order of their revisions.
     pub records: Vec<Record>,
-    /// The revision after which a watch continues.
+    /// Revision of the last change in the answer, which may have no record because it is not
+    /// usable; `None` if there was no change.
+    pub last_rev: Option<u64>,
+    /// The newest revision of the store.
     pub rev: u64,
 }
 
