Read the other rows of an answer if one is not readable

What happened: one row of another structure (null, a key or value that is no text, a version that is negative, missing its type or beyond 64 bits, a tombstone nested more than 128 levels deep, bytes that are no UTF-8) made the whole answer of the store malformed: the hosts stopped following the list until the row was gone. A row with a version beyond that of the store moved the watch there, so that no later change would have been delivered. Not seen on the platform, whose rows carry the entries of other writers as base64.

An unreadable row is left out, counted and logged, and the next watch, which returns at once, waits 200 ms as after a failed call.

--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -61,10 +61,15 @@
                 } else {
                     read.last_rev.max(rev)
                 };
+                let unreadable = read.unreadable > 0;
                 apply(&node, topic, read, complete);
                 let at = if complete { sent } else { node.clock.now() };
                 sync_times.record(&node, topic, at);
                 outage = None;
+                if unreadable {
+                    // An unreadable change does not advance the watch, which returns at once.
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
             }
             Err(StoreError::HistoryGone) => rev = None,
             Err(err) => {
--- a/crates/router/src/ports/store.rs
+++ b/crates/router/src/ports/store.rs
@@ -45,6 +45,8 @@
     /// Revision of the last change in the answer, which may have no record because it is not
     /// usable; `None` if there was no change.
     pub last_rev: Option<u64>,
+    /// Number of changes that are left out because not even their revision is readable.
+    pub unreadable: usize,
     /// The newest revision of the store.
     pub rev: u64,
 }
