--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -9,19 +9,14 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http::HeaderValue;
-use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
-use hyper_util::rt::TokioIo;
 use tokio::{
     net::TcpStream,
     sync::Notify,
     time::{Instant, timeout_at},
 };
 
-/// Sender of requests on one connection.
-pub type Sender = SendRequest<Full<Bytes>>;
+use crate::Sender;
 
 /// A bounded set of HTTP/1.1 connections to one server.
 pub struct Pool {
@@ -157,7 +152,7 @@
         if let Err(err) = stream.set_zero_linger() {
             log::debug!("SO_LINGER cannot be set: {err}");
         }
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = Sender::new(stream)
             .await
             .map_err(|_| ConnectError::Unreachable)?;
         let open = OpenGuard::new(Arc::clone(&self.open));
