--- a/crates/coordinator/src/slice_manager.rs
+++ b/crates/coordinator/src/slice_manager.rs
@@ -1,8 +1,8 @@
 //! The coordinator's state for one service: which targets may hold which keys, and until when.
 //!
 //! **Architecture Invariant:** a target is granted keys only when no other incarnation of any
-//! target can hold them: each previous owner has released them, its hold has expired, or it was
-//! restarted.
+//! target can hold them: each previous owner has released them, its hold has expired, or another
+//! target has its address.
 //!
 //! **Architecture Invariant:** a target is granted keys only after the store names it as their
 //! owner, so that the next coordinator knows all targets that may hold them.
@@ -12,6 +12,7 @@
 mod lost_orders;
 mod order;
 mod previous_owner;
+mod recovery;
 mod rows;
 mod unresponsive;
 
@@ -20,15 +21,19 @@
     sync::Arc,
 };
 
-pub use self::former_hold::{FormerHold, HoldEnd};
-pub use self::order::{GrantOutcome, GrantTiming, Order, OrderId, OrderKind, ReleaseOutcome};
 use self::{
     entry::Entry,
     lost_orders::LostOrders,
     order::InFlightOrder,
     previous_owner::{InterimGrant, PreviousOwner},
+    recovery::Recovery,
     unresponsive::{PROBE_INTERVAL_MS, Unresponsive},
 };
+pub use self::{
+    former_hold::{FormerHold, HoldEnd},
+    order::{GrantOutcome, GrantTiming, Order, OrderId, OrderKind, ReleaseOutcome},
+    recovery::Memory,
+};
 use crate::{FencingToken, Incarnation, Key, KeyRange, Millis, Phase, Slice, SliceRow};
 
 /// Time after a grant within which a refused request is assumed to have been sent before the grant
@@ -59,6 +64,8 @@
     /// Targets with an undelivered or unanswered grant and no successful order since.
     unresponsive: BTreeMap<Arc<str>, Unresponsive>,
     lost_orders: LostOrders,
+    /// Set while targets that the slices do not name may hold keys.
+    recovery: Option<Recovery>,
     /// First keys of the slices that changed since the last call of `take_changed`.
     changed: BTreeSet<Key>,
     /// Holds of previous owners that ended since the last call of `take_former_holds`.
@@ -90,6 +97,7 @@
             stored: BTreeMap::new(),
             unresponsive: BTreeMap::new(),
             lost_orders: LostOrders::default(),
+            recovery: None,
             changed: BTreeSet::new(),
             former_holds: Vec::new(),
         };
@@ -118,7 +126,8 @@
 
     /// Replaces the list of targets that exist, draining ones included.
     ///
-    /// A restarted target with the same name holds none of the keys that it held before.
+    /// A restarted target with the same name holds none of the keys that it held before, but it may
+    /// have accepted grants that were sent to its predecessor.
     pub fn set_incarnations(
         &mut self,
         incarnations: impl IntoIterator<Item = Incarnation>,
@@ -131,7 +140,7 @@
         self.unresponsive
             .retain(|it, _| self.incarnations.contains_key(it));
         for entry in self.entries.values_mut() {
-            entry.on_incarnations(&self.incarnations, now, &mut self.former_holds);
+            entry.on_incarnations(&self.incarnations, now);
         }
     }
 
@@ -193,8 +202,11 @@
     /// `now`.
     pub fn step(&mut self, now: Millis) -> Vec<Order> {
         let mut orders = Vec::new();
+        let blocked = self.step_recovery(&mut orders, now);
         for entry in self.entries.values_mut() {
             let range = entry.range;
+            // A renewal gives the owner no keys that it does not hold already.
+            let may_grant = entry.granted || !blocked.contains_any(range);
             entry.drop_cleared_owners(now, &mut self.former_holds);
             let is_running = |incarnation: &Incarnation| {
                 self.incarnations.get(&incarnation.target) == Some(&incarnation.started_ms)
@@ -204,12 +216,16 @@
                     continue;
                 }
                 let id = OrderId(self.next_order_id);
-                let (token, kind) = if let Some(token) = previous.due_grant(now) {
+                let (token, kind) = if let Some(token) = previous.due_grant(now)
+                    && may_grant
+                {
                     previous.inflight_grant = Some(id);
                     let hold_ms = self.hold_ms;
                     let handover = None;
                     (token, OrderKind::Grant { hold_ms, handover })
-                } else if previous.is_release_due(now) {
+                } else if !entry.owner_lost && previous.is_release_due(now) {
+                    // The token of a lost owner is not above those of its grants, which its
+                    // successor may still accept.
                     previous.inflight_release = Some(id);
                     (entry.token, OrderKind::Release)
                 } else {
@@ -224,12 +240,13 @@
                     kind,
                 });
             }
-            if !entry.is_grant_due(now) || !is_running(&entry.owner) {
+            if !may_grant || !entry.is_grant_due(now) || !is_running(&entry.owner) {
                 continue;
             }
             let id = OrderId(self.next_order_id);
             self.next_order_id += 1;
             entry.inflight_grant = Some(id);
+            entry.granted = true;
             orders.push(Order {
                 id,
                 incarnation: entry.owner.clone(),
@@ -295,8 +312,9 @@
                 if previous.inflight_grant == Some(id) {
                     previous.on_grant(outcome, renew_at, retry_at);
                 }
-                // A grant that was in flight when its slice moved may still be in force.
-                if previous.incarnation == sent.incarnation && outcome.may_hold() {
+                // A grant that was in flight when its slice moved or its target was restarted may
+                // still be in force.
+                if previous.incarnation.target == sent.incarnation.target && outcome.may_hold() {
                     previous.until = previous.until.max(until);
                 }
             }
@@ -306,7 +324,7 @@
             if entry.inflight_grant == Some(id) {
                 entry.inflight_grant = None;
             }
-            if outcome.may_hold() {
+            if outcome.may_hold() && !entry.owner_lost {
                 entry.until = entry.until.max(until);
             }
             match outcome {
@@ -349,6 +367,9 @@
             ReleaseOutcome::NoAnswer => self.lost_orders.record(now, true),
         }
         let retry_ms = self.timing.retry_ms;
+        if let Some(recovery) = &mut self.recovery {
+            recovery.on_release(id, &sent.incarnation, outcome, now + retry_ms);
+        }
         for entry in self.entries.values_mut() {
             let is_covered = entry.range.intersection(sent.range) == Some(entry.range);
             if !is_covered {
--- a/crates/coordinator/src/slice_manager/entry.rs
+++ b/crates/coordinator/src/slice_manager/entry.rs
@@ -17,6 +17,8 @@
     pub(super) previous_owners: SmallVec<[PreviousOwner; 1]>,
     /// Whether the store names the owner.
     pub(super) recorded: bool,
+    /// Whether this coordinator has granted the keys to the owner.
+    pub(super) granted: bool,
     /// Latest end of the owner's hold; 0 if it was never granted the keys.
     pub(super) until: Millis,
     /// When the next grant to the owner is due.
@@ -38,6 +40,7 @@
             phase: Phase::Pending,
             previous_owners: SmallVec::new(),
             recorded: false,
+            granted: false,
             until: 0,
             renew_at: 0,
             inflight_grant: None,
@@ -112,20 +115,35 @@
             && !self.owner_lost
     }
 
-    /// Drops the holds of restarted targets, for which `incarnations` has a different start, and
-    /// adds those of previous owners to `former`.
-    pub(super) fn on_incarnations(
-        &mut self,
-        incarnations: &BTreeMap<Arc<str>, u64>,
-        now: Millis,
-        former: &mut Vec<FormerHold>,
-    ) {
-        let is_restarted = |incarnation: &Incarnation| {
-            incarnations
-                .get(&incarnation.target)
-                .is_some_and(|it| *it != incarnation.started_ms)
+    /// Applies the restarts of targets, for which `incarnations` has a later start: a process that
+    /// may have accepted grants meant for its predecessor becomes a previous owner. An unknown start
+    /// or an earlier one, from an outdated list, changes nothing.
+    pub(super) fn on_incarnations(&mut self, incarnations: &BTreeMap<Arc<str>, u64>, now: Millis) {
+        let successor = |it: &Incarnation| {
+            let started_ms = *incarnations.get(&it.target)?;
+            (it.started_ms != 0 && started_ms > it.started_ms).then(|| Incarnation {
+                target: Arc::clone(&it.target),
+                started_ms,
+            })
         };
-        self.end_incarnations(is_restarted, now, former);
+        for previous in &mut self.previous_owners {
+            if let Some(incarnation) = successor(&previous.incarnation) {
+                previous.replace_incarnation(incarnation);
+            }
+        }
+        if self.owner_lost {
+            return;
+        }
+        let Some(incarnation) = successor(&self.owner) else {
+            return;
+        };
+        if self.inflight_grant.is_some() || self.until > now {
+            let mut previous = PreviousOwner::new(incarnation, self.until);
+            previous.inflight_grant = self.inflight_grant.take();
+            self.previous_owners.push(previous);
+        }
+        self.until = self.until.min(now);
+        self.owner_lost = true;
     }
 
     pub(super) fn on_incarnation_ended(
--- a/crates/router/src/control/lease.rs
+++ b/crates/router/src/control/lease.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     node::Node,
-    ports::{CommitResult, OwnRows, Transaction},
+    ports::{CommitResult, OwnRows, Revision, Transaction},
 };
 
 /// Duration of the lease.
@@ -15,8 +15,8 @@
 pub struct LeaseView {
     /// The row; `None` if there is none or it is malformed.
     pub row: Option<LeaseRow>,
-    /// Revision of the row; 0 if there is none.
-    pub rev: u64,
+    /// Revision of the row; its number is 0 if there is none.
+    pub rev: Revision,
     /// The reading of the store's clock from the same answer.
     pub clock: StoreClock,
 }
@@ -27,13 +27,20 @@
     /// The row as this host last wrote it.
     pub row: LeaseRow,
     /// Its revision.
-    pub rev: u64,
+    pub rev: Revision,
     /// The last reading of the store's clock.
     pub clock: StoreClock,
     /// When the lease expires, on this host's clock.
     pub until: Millis,
 }
 
+impl Lease {
+    /// Whether the slice rows name every target that may hold keys.
+    pub fn are_rows_complete(&self) -> bool {
+        self.row.complete_in == Some(self.rev.generation)
+    }
+}
+
 impl LeaseView {
     /// Reads the lease; `None` if the store does not answer.
     pub async fn read(node: &Node) -> Option<Self> {
@@ -56,9 +63,13 @@
                 None
             }
         });
+        let absent = Revision {
+            generation: rows.generation,
+            number: 0,
+        };
         Self {
             row,
-            rev: known.map_or(0, |it| it.rev),
+            rev: known.map_or(absent, |it| it.rev),
             clock: StoreClock {
                 sent,
                 received: node.clock.now(),
@@ -74,12 +85,20 @@
 
     /// Tries to take the lease, which must be free; `None` if that failed or its result is unknown.
     pub async fn take(&self, node: &Node) -> Option<Lease> {
+        let generation = self.rev.generation;
+        let known_term = self.row.as_ref().map_or(0, |it| it.term);
+        let known_term = known_term.max(node.feed().position().term);
         let row = LeaseRow {
             host: node.settings.host.clone(),
             peer: node.info.peer,
-            term: self.row.as_ref().map_or(1, |it| it.term + 1),
+            term: LeaseRow::next_term(known_term, generation),
             until: self.clock.earliest_time(node.clock.now()) + LEASE_MS,
             nonce: rand::random(),
+            complete_in: match &self.row {
+                Some(row) => row.complete_in,
+                // Without a lease no target was granted keys, unless the store has lost it.
+                None => Some(generation).filter(|_| node.tables().is_empty()),
+            },
         };
         let transaction = Transaction {
             expected: vec![(LeaseRow::NAME.to_owned(), self.rev)],
@@ -89,6 +108,8 @@
         let until = self.clock.local_expiry(row.until);
         let sent = node.clock.now();
         match node.store.commit(&transaction).await {
+            // In another generation the expected revision may be that of another holder's row.
+            CommitResult::Applied { rev, .. } if rev.generation != self.rev.generation => None,
             CommitResult::Applied { rev, store_ms } => {
                 let received = node.clock.now();
                 let value = store_ms;
@@ -112,3 +133,6 @@
 pub fn encode(row: &LeaseRow) -> Vec<u8> {
     serde_json::to_vec(row).expect("a lease has string keys only")
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -316,6 +316,12 @@
             && !*self.stopping.borrow()
     }
 
+    /// Records that the store has `generation`.
+    pub fn on_generation(&self, generation: u64) {
+        self.targets_mut()
+            .on_generation(generation, self.clock.now());
+    }
+
     /// Drops targets that were removed before `before`.
     pub fn forget_targets(&self, before: Millis) {
         self.targets_mut().forget(before);
@@ -360,7 +366,7 @@
                     let state = entry.as_ref().map(|it| it.state);
                     let address = entry.as_ref().map(|it| it.address);
                     log::info!(
-                        target_name = &**name, rev, state:?, address:?, left_out;
+                        target_name = &**name, rev:%, state:?, address:?, left_out;
                         "a target changed"
                     );
                 }
--- a/crates/router/src/ports/store.rs
+++ b/crates/router/src/ports/store.rs
@@ -8,6 +8,7 @@
 use routing::Catalog;
 use thiserror::Error;
 
+use super::Revision;
 use crate::state::TargetEntry;
 
 /// A set of records that others write to the store.
@@ -32,7 +33,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
     /// The revision.
-    pub rev: u64,
+    pub rev: Revision,
     /// The update.
     pub update: Update,
 }
@@ -44,11 +45,11 @@
     pub records: Vec<Record>,
     /// Revision of the last change in the answer, which may have no record because it is not
     /// usable; `None` if there was no change.
-    pub last_rev: Option<u64>,
+    pub last_rev: Option<Revision>,
     /// Number of changes that are left out because not even their revision is readable.
     pub unreadable: usize,
     /// The newest revision of the store.
-    pub rev: u64,
+    pub rev: Revision,
 }
 
 /// A row of the router's own table.
@@ -57,7 +58,7 @@
     /// Its name.
     pub name: String,
     /// The revision at which it was written.
-    pub rev: u64,
+    pub rev: Revision,
     /// Its value.
     pub value: Vec<u8>,
 }
@@ -69,14 +70,17 @@
     pub rows: Vec<OwnRow>,
     /// Time of the store's clock.
     pub store_ms: Millis,
+    /// The store's generation.
+    pub generation: u64,
 }
 
 /// An atomic change of the router's own rows.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Transaction {
-    /// Revisions that rows must have for the transaction to apply; 0 means that the row must not
-    /// exist.
-    pub expected: Vec<(String, u64)>,
+    /// Revisions that rows must have for the transaction to apply; the number 0 means that the row
+    /// must not exist. The store compares the numbers only: if it has come back from a copy, a
+    /// transaction may be applied although another host wrote the row.
+    pub expected: Vec<(String, Revision)>,
     /// Rows to write.
     pub puts: Vec<(String, Vec<u8>)>,
     /// Rows to remove.
@@ -89,7 +93,7 @@
     /// It was applied.
     Applied {
         /// Its revision.
-        rev: u64,
+        rev: Revision,
         /// Time of the store's clock.
         store_ms: Millis,
     },
@@ -122,11 +126,12 @@
     /// Reads all records of a topic.
     fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Read, StoreError>>;
 
-    /// Waits at most `wait` for records after the revision `after`.
+    /// Waits at most `wait` for records after the revision `after`. Fails with
+    /// [`StoreError::HistoryGone`] if the store has another generation.
     fn watch(
         &self,
         topic: Topic,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> BoxFuture<'_, Result<Read, StoreError>>;
 
