--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -59,15 +59,15 @@
         match read {
             Ok(read) => {
                 let complete = rev.is_none();
-                // A watch that returns no records may have missed some, so the next one continues
+                // A watch that returns no changes may have missed some, so the next one continues
                 // from the last revision received: the store then delivers what was missed, or
                 // reports that its history is gone.
-                let last_rev = read.records.iter().map(|it| it.rev).max();
                 rev = if complete {
                     Some(read.rev)
                 } else {
-                    last_rev.max(rev)
+                    read.last_rev.max(rev)
                 };
+                let unreadable = read.unreadable > 0;
                 let again_at = apply(&node, topic, read, complete);
                 if complete {
                     read_again_at = again_at;
@@ -75,6 +75,10 @@
                 let at = if complete { sent } else { node.clock.now() };
                 sync_times.record(&node, topic, at);
                 outage = None;
+                if unreadable {
+                    // An unreadable change does not advance the watch, which returns at once.
+                    tokio::time::sleep(RETRY_PAUSE).await;
+                }
             }
             Err(StoreError::HistoryGone) => rev = None,
             Err(err) => {
--- a/crates/router/src/ports/store.rs
+++ b/crates/router/src/ports/store.rs
@@ -43,7 +43,12 @@
 pub struct Read {
     /// The records in the order of their revisions.
     pub records: Vec<Record>,
-    /// The revision after which a watch continues.
+    /// Revision of the last change in the answer, which may have no record because it is not
+    /// usable; `None` if there was no change.
+    pub last_rev: Option<Revision>,
+    /// Number of changes that are left out because not even their revision is readable.
+    pub unreadable: usize,
+    /// The newest revision of the store.
     pub rev: Revision,
 }
 
