--- a/crates/coordinator/src/slice_manager/recovery.rs
+++ b/crates/coordinator/src/slice_manager/recovery.rs
@@ -6,8 +6,10 @@
 //! after all of these releases for its keys are answered, or when no grant of an earlier coordinator
 //! can be in force any more. Owners keep their keys meanwhile.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use smallvec::SmallVec;
 
--- a/crates/coordinator/tests/safety.rs
+++ b/crates/coordinator/tests/safety.rs
@@ -4,6 +4,8 @@
 //! that loses, delays and reorders orders and answers. Coordinators crash and are replaced, and the
 //! store comes back from earlier copies of its rows.
 
+mod model;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
@@ -15,8 +17,11 @@
 };
 use proptest::prelude::*;
 
-const KEYS: u16 = 8;
-const TARGETS: usize = 3;
+use model::{
+    event::{Event, NetworkOutcome, TARGETS, event, event_or_restore, network_outcome},
+    target::{KEYS, Target, latest_end},
+};
+
 const TIMING: GrantTiming = GrantTiming {
     hold_ms: 3_000,
     max_hold_ms: 10_000,
@@ -29,176 +34,6 @@
 /// Longest time from the sending of an order to its arrival.
 const MAX_TRANSIT_MS: u64 = 100;
 
-/// A target with its fencing state.
-#[derive(Clone, Debug, Default)]
-struct Target {
-    started_ms: u64,
-    /// Orders to processes that started before this get the answer that the target has ended.
-    gone_before: u64,
-    /// The start that the list shows until `listed_from`.
-    previous_start: u64,
-    /// When the list shows the present start.
-    listed_from: u64,
-    registered: bool,
-    /// End of its hold by key.
-    hold_ends: BTreeMap<u16, u64>,
-    /// Highest fencing token that it has seen, by key.
-    seen_tokens: BTreeMap<u16, u64>,
-}
-
-impl Target {
-    /// The start that the list shows.
-    fn listed_start(&self, now: u64) -> u64 {
-        if now < self.listed_from {
-            self.previous_start
-        } else {
-            self.started_ms
-        }
-    }
-
-    fn grant(&mut self, now: u64, arrived: u64, order: &Order) -> GrantOutcome {
-        let keys = order.range.first..=order.range.last;
-        if keys.clone().any(|it| {
-            self.seen_tokens
-                .get(&it)
-                .is_some_and(|seen| *seen > order.token)
-        }) {
-            return GrantOutcome::Superseded;
-        }
-        let until = latest_end(arrived, order);
-        for key in keys {
-            self.seen_tokens.insert(key, order.token);
-            if until > now {
-                let held = self.hold_ends.entry(key).or_default();
-                *held = until.max(*held);
-            }
-        }
-        GrantOutcome::Accepted
-    }
-
-    /// The token of a release counts as seen, so later grants with lower tokens are refused. The
-    /// users' back ends do the same.
-    fn release(&mut self, order: &Order) {
-        for key in modelled_keys(order) {
-            self.hold_ends.remove(&key);
-            let seen = self.seen_tokens.entry(key).or_default();
-            *seen = order.token.max(*seen);
-        }
-    }
-}
-
-/// Returns the keys of an order that the model has.
-fn modelled_keys(order: &Order) -> std::ops::RangeInclusive<u16> {
-    order.range.first..=order.range.last.min(KEYS - 1)
-}
-
-/// Returns the end of a hold on a target whose clock runs 2% slow.
-fn latest_end(arrived: u64, order: &Order) -> u64 {
-    match order.kind {
-        OrderKind::Grant { hold_ms, .. } => arrived + hold_ms * 100 / 98,
-        OrderKind::Release => arrived,
-    }
-}
-
-/// How an order and its answer are transported.
-#[derive(Clone, Copy, Debug)]
-enum NetworkOutcome {
-    Answered {
-        delay_ms: u64,
-    },
-    AnswerLost,
-    NeverArrives,
-    /// The order arrives at once, but the target processes it after the sender has given up.
-    ProcessedLate {
-        delay_ms: u64,
-    },
-    /// The order waits at an overloaded target, which reads it after the sender has given up. A
-    /// grant lasts from then on.
-    ReadLate {
-        delay_ms: u64,
-    },
-}
-
-/// A step of the random sequence.
-#[derive(Clone, Copy, Debug)]
-enum Event {
-    Wait(u64),
-    Assign {
-        first: u16,
-        last: u16,
-        target: usize,
-    },
-    Commit {
-        applied: bool,
-        answered: bool,
-    },
-    Restart(usize),
-    /// The target starts again under its name and address: it takes orders to its predecessor,
-    /// except those that the predecessor received and did not process.
-    RestartInPlace {
-        target: usize,
-        /// Time until the list shows the restart.
-        listed_after_ms: u64,
-    },
-    Leave(usize),
-    Join(usize),
-    Refuse {
-        key: u16,
-        target: usize,
-    },
-    ExtendGrants(bool),
-    Crash,
-    /// The store comes back from a copy that lacks the last `lost` writes, and a new coordinator
-    /// takes over.
-    Restore {
-        lost: usize,
-        /// Number of the latest published slices that the new coordinator does not remember; `None`
-        /// if it remembers nothing.
-        missed: Option<usize>,
-    },
-}
-
-fn event() -> impl Strategy<Value = Event> {
-    prop_oneof![
-        8 => (1..400_u64).prop_map(Event::Wait),
-        2 => (900..4_000_u64).prop_map(Event::Wait),
-        6 => (0..KEYS, 0..KEYS, 0..TARGETS).prop_map(|(a, b, target)| Event::Assign {
-            first: a.min(b),
-            last: a.max(b),
-            target,
-        }),
-        6 => Just(Event::Commit { applied: true, answered: true }),
-        1 => any::<bool>().prop_map(|applied| Event::Commit { applied, answered: false }),
-        1 => (0..TARGETS).prop_map(Event::Restart),
-        1 => (0..TARGETS, 0..3_000_u64).prop_map(|(target, listed_after_ms)| {
-            Event::RestartInPlace { target, listed_after_ms }
-        }),
-        1 => (0..TARGETS).prop_map(Event::Leave),
-        1 => (0..TARGETS).prop_map(Event::Join),
-        1 => (0..KEYS, 0..TARGETS).prop_map(|(key, target)| Event::Refuse { key, target }),
-        1 => any::<bool>().prop_map(Event::ExtendGrants),
-        1 => Just(Event::Crash),
-    ]
-}
-
-fn event_or_restore() -> impl Strategy<Value = Event> {
-    prop_oneof![
-        30 => event(),
-        1 => (1..20_usize, prop::option::weighted(0.9, 0..4_usize))
-            .prop_map(|(lost, missed)| Event::Restore { lost, missed }),
-    ]
-}
-
-fn network_outcome() -> impl Strategy<Value = NetworkOutcome> {
-    prop_oneof![
-        8 => (1..200_u64).prop_map(|delay_ms| NetworkOutcome::Answered { delay_ms }),
-        1 => Just(NetworkOutcome::AnswerLost),
-        1 => Just(NetworkOutcome::NeverArrives),
-        2 => (2_000..12_000_u64).prop_map(|delay_ms| NetworkOutcome::ProcessedLate { delay_ms }),
-        2 => (250..7_000_u64).prop_map(|delay_ms| NetworkOutcome::ReadLate { delay_ms }),
-    ]
-}
-
 /// Something that takes effect at a later time.
 #[derive(Clone, Debug)]
 enum Arrival {
