--- a/crates/coordinator/tests/extended_grants.rs
+++ b/crates/coordinator/tests/extended_grants.rs
@@ -1,20 +1,13 @@
 //! Extended grants while the store does not answer.
 
+mod support;
+
 use std::sync::Arc;
 
 use coordinator::{
-    GrantOutcome, GrantTiming, Incarnation, KeyRange, Order, OrderKind, ReleaseOutcome,
-    SliceManager,
-};
-
-const TIMING: GrantTiming = GrantTiming {
-    hold_ms: 3_000,
-    max_hold_ms: 10_000,
-    renew_ms: 1_000,
-    retry_ms: 300,
-    unread_ms: 7_000,
-    drift_percent: 2,
+    GrantOutcome, Incarnation, KeyRange, Order, OrderKind, ReleaseOutcome, SliceManager,
 };
+use support::TIMING;
 
 fn granted_hold_ms(orders: &[Order]) -> Option<u64> {
     match orders {
--- a/crates/coordinator/tests/late_orders.rs
+++ b/crates/coordinator/tests/late_orders.rs
@@ -1,20 +1,13 @@
 //! Orders that a target reads after their sender has given them up.
 
+mod support;
+
 use std::sync::Arc;
 
 use coordinator::{
-    GrantOutcome, GrantTiming, Incarnation, KeyRange, Millis, Order, OrderKind, ReleaseOutcome,
-    SliceManager,
-};
-
-const TIMING: GrantTiming = GrantTiming {
-    hold_ms: 3_000,
-    max_hold_ms: 10_000,
-    renew_ms: 1_000,
-    retry_ms: 300,
-    unread_ms: 7_000,
-    drift_percent: 2,
+    GrantOutcome, Incarnation, KeyRange, Millis, Order, OrderKind, ReleaseOutcome, SliceManager,
 };
+use support::TIMING;
 
 /// When the coordinator gives up the grant to the first owner.
 const GIVEN_UP_AT: Millis = 260;
--- a/crates/coordinator/tests/recovery.rs
+++ b/crates/coordinator/tests/recovery.rs
@@ -1,20 +1,14 @@
 //! When a new coordinator grants keys after the store has lost rows.
 
+mod support;
+
 use std::{collections::BTreeSet, sync::Arc};
 
 use coordinator::{
-    GrantTiming, Incarnation, KeyRange, LeaseRow, Memory, OrderKind, Phase, ReleaseOutcome, Slice,
-    SliceManager, SliceRow,
-};
-
-const TIMING: GrantTiming = GrantTiming {
-    hold_ms: 3_000,
-    max_hold_ms: 10_000,
-    renew_ms: 1_000,
-    retry_ms: 300,
-    unread_ms: 7_000,
-    drift_percent: 2,
+    Incarnation, KeyRange, LeaseRow, Memory, OrderKind, Phase, ReleaseOutcome, Slice, SliceManager,
+    SliceRow,
 };
+use support::TIMING;
 
 /// When the coordinator takes over.
 const START: u64 = 100_000;
--- a/crates/coordinator/tests/restarts.rs
+++ b/crates/coordinator/tests/restarts.rs
@@ -1,20 +1,13 @@
 //! Targets that start again under their name, and lists that show another start of a target.
 
+mod support;
+
 use std::sync::Arc;
 
 use coordinator::{
-    GrantOutcome, GrantTiming, Incarnation, KeyRange, Millis, OrderKind, ReleaseOutcome,
-    SliceManager,
-};
-
-const TIMING: GrantTiming = GrantTiming {
-    hold_ms: 3_000,
-    max_hold_ms: 10_000,
-    renew_ms: 1_000,
-    retry_ms: 300,
-    unread_ms: 7_000,
-    drift_percent: 2,
+    GrantOutcome, Incarnation, KeyRange, Millis, OrderKind, ReleaseOutcome, SliceManager,
 };
+use support::TIMING;
 
 /// When the first owner accepts the grant of its keys.
 const ACCEPTED_AT: Millis = 20;
--- a/crates/coordinator/tests/safety.rs
+++ b/crates/coordinator/tests/safety.rs
@@ -5,6 +5,7 @@
 //! store comes back from earlier copies of its rows.
 
 mod model;
+mod support;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,24 +13,15 @@
 };
 
 use coordinator::{
-    GrantOutcome, GrantTiming, Incarnation, KeyRange, Memory, Order, OrderId, OrderKind,
-    ReleaseOutcome, Slice, SliceManager, SliceRow,
+    GrantOutcome, Incarnation, KeyRange, Memory, Order, OrderId, OrderKind, ReleaseOutcome, Slice,
+    SliceManager, SliceRow,
 };
-use proptest::prelude::*;
-
 use model::{
     event::{Event, NetworkOutcome, TARGETS, event, event_or_restore, network_outcome},
     target::{KEYS, Target, latest_end},
 };
-
-const TIMING: GrantTiming = GrantTiming {
-    hold_ms: 3_000,
-    max_hold_ms: 10_000,
-    renew_ms: 1_000,
-    retry_ms: 300,
-    unread_ms: 7_000,
-    drift_percent: 2,
-};
+use proptest::prelude::*;
+use support::TIMING;
 
 /// Longest time from the sending of an order to its arrival.
 const MAX_TRANSIT_MS: u64 = 100;
