Test that an answer cut at any byte does not look whole

Report of other operators: a target stopped in the middle of its answer's head, and callers got a 200 with an empty or short body, framed as whole.

--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -109,6 +109,17 @@
         }
     }
 
+    /// The bytes of the request on a connection of HTTP/1.1.
+    #[must_use]
+    pub fn to_bytes(&self) -> Bytes {
+        let mut text = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
+        for (name, value) in &self.headers {
+            text += &format!("{name}: {value}\r\n");
+        }
+        text += &format!("content-length: {}\r\n\r\n", self.body.len());
+        [text.as_bytes(), &self.body].concat().into()
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn with_header(mut self, name: &str, value: impl Into<String>) -> Self {
--- a/crates/testkit/tests/truth.rs
+++ b/crates/testkit/tests/truth.rs
@@ -232,3 +232,47 @@
         )
         .await;
 }
+
+/// Guards against a short or empty answer that looks complete after a target stopped in the middle
+/// of the answer's head and closed the connection.
+#[tokio::test]
+async fn head_of_an_answer_is_cut_at_any_byte() {
+    let deployment = Deployment::start(layout(&[Proxied::Targets])).await;
+    let layout = &deployment.layout;
+    let call = layout.get("archive", "head");
+    let owner = deployment.owner(0, "archive", "head").await;
+    let entries = entry_hosts(&deployment, "head").await;
+    let proxy = deployment.targets[&owner.target].proxy.as_ref().unwrap();
+    let before = proxy.counts().await.down;
+    let reply = deployment.send(entries[0], &call).await.unwrap();
+    let head_bytes = proxy.counts().await.down - before - reply.body.len() as u64;
+    let mut cut = 0;
+    for offset in (0..head_bytes).step_by(2) {
+        for entry in entries {
+            let rule = json!({
+                "mode": "truncate", "after_bytes": offset, "direction": "down", "scope": "all",
+            });
+            proxy.set_rule(rule).await;
+            let id = format!("cut{offset}-{entry}");
+            let reply = deployment
+                .send(entry, &layout.post("archive", "head", &id))
+                .await;
+            proxy.set_rule(json!({"mode": "pass"})).await;
+            // Other than a refusal, it can only be an answer that passed before the rule applied.
+            if looks_complete(&reply) {
+                let bytes = reply.unwrap().body.len();
+                assert_eq!(bytes, 1_024, "{id}: a short answer looks complete");
+            } else {
+                cut += 1;
+            }
+            let since = Instant::now();
+            let host = deployment.hosts[entry].data;
+            deployment
+                .wait_until_answered(host, &call, since, RECOVERY_TIMEOUT)
+                .await;
+        }
+    }
+    println!("{cut} of {head_bytes} answers were cut");
+    assert!(cut >= head_bytes / 2, "the proxy cut only {cut} answers");
+    assert_eq!(deployment.history().repeated(), vec![]);
+}
