Mend the records of the stand-in and the search for free ports

A process that was suspended between them recorded a start after the end of its grants, and an end, computed from these, before the start. The start is now read before the check. - A crash with several requests: a thread recorded a start after another had recorded the exit; that run seemed to last until the record was read. Nothing is recorded after an exit now. - A port that was free could not be bound: a child between fork and exec holds the listener with which it was tried. Both now take one lock.

--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -5,7 +5,10 @@
     net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{ExitStatus, Stdio},
-    sync::atomic::{AtomicU16, Ordering},
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU16, Ordering},
+    },
     time::Duration,
 };
 
@@ -22,6 +25,10 @@
 /// Ports below the kernel's range of ephemeral ports for outgoing connections.
 const PORTS: std::ops::Range<u16> = 12_000..32_000;
 
+/// Held while a port is tried and while a child process is started. Between fork and exec, a child
+/// has all descriptors of its parent, so it would keep the port of a listener in use.
+static FORK_LOCK: Mutex<()> = Mutex::new(());
+
 /// Returns a port of 127.0.0.1 that is free at the time of the call.
 ///
 /// # Panics
@@ -37,6 +44,7 @@
     for _ in PORTS {
         let offset = NEXT.fetch_add(1, Ordering::Relaxed) % (PORTS.end - PORTS.start);
         let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + offset));
+        let _lock = FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind(address).is_ok() {
             return address;
         }
@@ -148,11 +156,13 @@
     }
 
     fn spawn(program: &Path, args: &[&str], log: &Path, stdout: Stdio) -> Self {
+        let log_file = open_log(log);
+        let _lock = FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
         let child = Command::new(program)
             .args(args)
             .stdin(Stdio::null())
             .stdout(stdout)
-            .stderr(open_log(log))
+            .stderr(log_file)
             .kill_on_drop(true)
             .spawn()
             .unwrap_or_else(|err| {
@@ -190,13 +200,23 @@
 /// Panics if the binary is missing or does not exit with 0.
 pub async fn run(name: &str, args: &[&str]) -> String {
     let program = target_dir().join(name);
-    let output = Command::new(&program)
+    let mut command = Command::new(&program);
+    command
         .args(args)
         .stdin(Stdio::null())
-        .kill_on_drop(true)
-        .output()
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .kill_on_drop(true);
+    let child = {
+        let _lock = FORK_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+        command.spawn()
+    };
+    let child =
+        child.unwrap_or_else(|err| panic!("{} cannot be started: {err}", program.display()));
+    let output = child
+        .wait_with_output()
         .await
-        .unwrap_or_else(|err| panic!("{} cannot be started: {err}", program.display()));
+        .unwrap_or_else(|err| panic!("{} cannot be awaited: {err}", program.display()));
     let (out, err) = (output.stdout, output.stderr);
     let (out, err) = (String::from_utf8_lossy(&out), String::from_utf8_lossy(&err));
     assert!(
--- a/crates/testkit/src/target/record.rs
+++ b/crates/testkit/src/target/record.rs
@@ -146,9 +146,12 @@
         });
     }
 
-    /// Records the exit of the process.
+    /// Records the exit of the process. Nothing is recorded after it: other threads that start or
+    /// end requests wait for ever, and the caller must end the process.
     pub fn exit(&self) {
+        let entries = self.entries.lock().unwrap_or_else(PoisonError::into_inner);
         self.append(&Event::Exit { at_us: now_us() });
+        std::mem::forget(entries);
     }
 
     /// All requests accepted so far.
@@ -211,3 +214,6 @@
         .unwrap_or_default();
     u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/testkit/src/target/server.rs
+++ b/crates/testkit/src/target/server.rs
@@ -306,7 +306,11 @@
 
     /// Checks the fencing values and records the start under one lock, so that no grant is
     /// applied in between; `None` if the request is fenced.
+    ///
+    /// The recorded start is read before the check: a process that is suspended behind the check
+    /// runs nothing after its grants have expired, and would record a start after that.
     fn start(&self, head: &Parts, key_fence: Option<&KeyFence>) -> Option<u64> {
+        let start_us = now_us();
         let grants = lock(&self.grants);
         let service = &self.options.service;
         if self.options.checks {
@@ -326,7 +330,7 @@
             path: head.uri.path().to_owned(),
             epoch: key_fence.map_or(0, |it| it.fence.epoch),
             generation: key_fence.map_or(0, |it| it.fence.generation),
-            start_us: now_us(),
+            start_us,
             ..Entry::default()
         };
         Some(self.record.start(entry))
@@ -399,3 +403,6 @@
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/testkit/tests/stand_ins.rs
+++ b/crates/testkit/tests/stand_ins.rs
@@ -2,7 +2,8 @@
 //! does not record what ran, other integration tests pass although the router is faulty.
 
 use std::{
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
+    sync::atomic::Ordering,
     time::{Duration, Instant},
 };
 
@@ -12,7 +13,7 @@
 use testkit::{
     client::{Call, CallError, HttpClient, send},
     nodes::{Proxy, command},
-    process::Process,
+    process::{Process, free_port},
     target::{Outcome, answer_bytes, join_events},
 };
 
@@ -450,3 +451,30 @@
         "the request ran for {ran_us} us under a grant of 400 ms"
     );
 }
+
+/// Guards against a free port that cannot be bound, because a process that was started at the same
+/// time still holds the listener with which it was found to be free.
+#[tokio::test(flavor = "multi_thread", worker_threads = 6)]
+async fn free_ports_can_be_bound_while_processes_start() {
+    const PORTS: usize = 4_000;
+    let dir = tempfile::tempdir().unwrap();
+    let log = dir.path().join("log");
+    let starts = std::sync::atomic::AtomicBool::new(true);
+    let failures = std::thread::scope(|scope| {
+        let runtime = tokio::runtime::Handle::current();
+        for _ in 0..4 {
+            let (runtime, log, starts) = (runtime.clone(), log.clone(), &starts);
+            scope.spawn(move || {
+                let _context = runtime.enter();
+                while starts.load(Ordering::Relaxed) {
+                    drop(Process::start_binary("sassafrasctl", &["--version"], &log));
+                }
+            });
+        }
+        let ports = (0..PORTS).map(|_| free_port());
+        let failures = ports.filter(|it| TcpListener::bind(it).is_err()).count();
+        starts.store(false, Ordering::Relaxed);
+        failures
+    });
+    assert_eq!(failures, 0, "of {PORTS} ports");
+}
