Wait for grants that a previous coordinator's targets read late

Known red a_new_coordinator_waits_for_grants_that_are_read_late: a new coordinator counted 7 s in which an order may stay unread from its own start, but the predecessor gives a grant up 250 ms after sending it, and during an outage of the store grants last max_hold_s. Keys could get a second owner 10.2 s after a takeover instead of 10.3 s and 17.5 s.

The bound is now that of a grant of the longest duration that is read as late as it can. So that keys do not wait for it without need, the bound ends for an owner that accepts a grant of this coordinator for all of the slice: it refuses earlier ones, whose tokens are lower. Before, such keys waited up to 10.2 s after a takeover if their owner fell silent, now until its own grant ends (3.1 s). A process that restarts under the id knows no tokens, so for it the bound remains. The time-out of grants moves to the port, since both the coordinator and the adapter depend on it.

late_orders.rs: the known red test passes; the new test fails if an acceptance does not end the bound (17,460 ms in place of at most 3,163). The random histories pass. After the store has come back from a copy, the bound stays 11.7 s: longer would exceed the 15 s in which service must recover.

--- a/crates/coordinator/src/slice_manager.rs
+++ b/crates/coordinator/src/slice_manager.rs
@@ -102,7 +102,7 @@
             changed: BTreeSet::new(),
             former_holds: Vec::new(),
         };
-        let until = now + timing.max_hold_with_drift_ms();
+        let until = now + timing.longest_grant_ms();
         let mut rows = rows;
         rows.sort_by_key(|it| it.token);
         for row in rows {
--- a/crates/coordinator/src/slice_manager/entry.rs
+++ b/crates/coordinator/src/slice_manager/entry.rs
@@ -19,8 +19,13 @@
     pub(super) recorded: bool,
     /// Whether this coordinator has granted the keys to the owner.
     pub(super) granted: bool,
-    /// Latest end of the owner's hold; 0 if it was never granted the keys.
+    /// Latest end of the grants of this coordinator to the owner; 0 if there are none.
     pub(super) until: Millis,
+    /// Latest end of the grants of earlier coordinators to the owner; 0 if there are none.
+    earlier_until: Millis,
+    /// Whether the owner has accepted a grant of this coordinator for all keys of the slice. It
+    /// refuses those of earlier coordinators since then, because their tokens are lower.
+    accepted: bool,
     /// When the next grant to the owner is due.
     pub(super) renew_at: Millis,
     pub(super) inflight_grant: Option<OrderId>,
@@ -42,6 +47,8 @@
             recorded: false,
             granted: false,
             until: 0,
+            earlier_until: 0,
+            accepted: false,
             renew_at: 0,
             inflight_grant: None,
             handover: None,
@@ -49,13 +56,14 @@
         }
     }
 
-    /// Creates a slice whose owner was granted it by an earlier coordinator.
+    /// Creates a slice whose owner was granted it by an earlier coordinator until `earlier_until` at
+    /// the latest.
     pub(super) fn taken_over(
         range: KeyRange,
         owner: Incarnation,
         token: FencingToken,
         previous_owners: SmallVec<[PreviousOwner; 1]>,
-        until: Millis,
+        earlier_until: Millis,
     ) -> Self {
         let phase = if previous_owners.is_empty() {
             Phase::Held
@@ -66,7 +74,7 @@
             phase,
             previous_owners,
             recorded: true,
-            until,
+            earlier_until,
             ..Self::new(range, owner, token)
         }
     }
@@ -88,8 +96,13 @@
         is_responsive: bool,
         now: Millis,
     ) {
-        if self.inflight_grant.is_some() || self.until > now {
-            let mut previous = PreviousOwner::new(self.owner.clone(), self.until);
+        let until = if self.accepted {
+            self.until
+        } else {
+            self.until.max(self.earlier_until)
+        };
+        if self.inflight_grant.is_some() || until > now {
+            let mut previous = PreviousOwner::new(self.owner.clone(), until);
             previous.inflight_grant = self.inflight_grant;
             if is_responsive && self.is_held() {
                 previous.interim_grant = Some(InterimGrant {
@@ -137,13 +150,14 @@
         let Some(incarnation) = successor(&self.owner) else {
             return;
         };
-        if self.inflight_grant.is_some() || self.until > now {
-            let mut previous = PreviousOwner::new(incarnation, self.until);
+        // The new process knows no tokens, so it accepts grants of earlier coordinators, too.
+        let until = self.until.max(self.earlier_until);
+        if self.inflight_grant.is_some() || until > now {
+            let mut previous = PreviousOwner::new(incarnation, until);
             previous.inflight_grant = self.inflight_grant.take();
             self.previous_owners.push(previous);
         }
-        self.until = self.until.min(now);
-        self.owner_lost = true;
+        self.end_hold(now);
     }
 
     pub(super) fn on_incarnation_ended(
@@ -166,11 +180,25 @@
             |it: &PreviousOwner| has_ended(&it.incarnation).then_some(HoldEnd::IncarnationEnded);
         self.drop_previous_owners(end, former);
         if has_ended(&self.owner) {
-            self.until = self.until.min(now);
-            self.owner_lost = true;
+            self.end_hold(now);
         }
     }
 
+    /// Records that the incarnation of the owner has ended.
+    fn end_hold(&mut self, now: Millis) {
+        self.until = self.until.min(now);
+        self.earlier_until = self.earlier_until.min(now);
+        self.owner_lost = true;
+    }
+
+    /// Records that the owner has accepted a grant of this coordinator for the keys in `range`.
+    pub(super) fn on_accepted(&mut self, range: KeyRange, renew_at: Millis) {
+        let is_covered = self.range.intersection(range) == Some(self.range);
+        self.accepted |= is_covered;
+        self.renew_at = renew_at;
+        self.handover = None;
+    }
+
     /// Drops the previous owners that cannot hold the keys any more, and adds their holds to
     /// `former`.
     pub(super) fn drop_cleared_owners(&mut self, now: Millis, former: &mut Vec<FormerHold>) {
--- a/crates/coordinator/src/slice_manager/order.rs
+++ b/crates/coordinator/src/slice_manager/order.rs
@@ -16,6 +16,8 @@
     /// Delay before an order that failed or got no answer is repeated. An unanswered grant to the
     /// owner is repeated at once.
     pub retry_ms: u64,
+    /// Time after which a grant without an answer is given up.
+    pub timeout_ms: u64,
     /// Longest time for which an order without an answer may stay unread after its sender has given
     /// it up: closing a connection does not withdraw bytes that an overloaded target has received
     /// and not read yet.
@@ -33,11 +35,18 @@
         arrived + hold_ms * 100 / (100 - self.drift_percent) + 1
     }
 
-    /// Returns the longest time for which a grant of an earlier coordinator can be in force: one of
-    /// the longest duration that its target has answered, or one of the usual duration that its
-    /// target reads late.
+    /// Returns the longest time, from its sending on, for which a grant of an earlier coordinator can
+    /// be in force: one of the longest duration that its target reads as late as it can.
     #[must_use]
-    pub fn max_hold_with_drift_ms(&self) -> u64 {
+    pub fn longest_grant_ms(&self) -> u64 {
+        self.latest_end(self.timeout_ms + self.unread_ms, self.max_hold_ms)
+    }
+
+    /// Returns the longest time for which keys are withheld after the store has come back from a
+    /// copy: that of a grant of the longest duration that its target has answered, or of one of the
+    /// usual duration that its target reads late.
+    #[must_use]
+    pub fn max_recovery_ms(&self) -> u64 {
         let answered = self.latest_end(0, self.max_hold_ms);
         answered.max(self.latest_end(self.unread_ms, self.hold_ms))
     }
--- a/crates/coordinator/src/slice_manager/outcomes.rs
+++ b/crates/coordinator/src/slice_manager/outcomes.rs
@@ -72,8 +72,7 @@
             }
             match outcome {
                 GrantOutcome::Accepted => {
-                    entry.renew_at = renew_at;
-                    entry.handover = None;
+                    entry.on_accepted(sent.range, renew_at);
                     if entry.phase == Phase::Pending {
                         entry.phase = Phase::Held;
                         self.changed.insert(entry.range.first);
--- a/crates/coordinator/src/slice_manager/recovery.rs
+++ b/crates/coordinator/src/slice_manager/recovery.rs
@@ -85,7 +85,7 @@
         now: Millis,
     ) -> Self {
         let mut manager = Self::new(service, term, timing, Vec::new(), now);
-        let until = memory.lease_end + timing.max_hold_with_drift_ms();
+        let until = memory.lease_end + timing.max_recovery_ms();
         let mut table = SliceTable::new();
         for row in rows {
             manager.stored.insert(row.name(), row.clone());
--- a/crates/coordinator/tests/late_orders.rs
+++ b/crates/coordinator/tests/late_orders.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::sync::Arc;
+use std::{ops::RangeInclusive, sync::Arc};
 
 use coordinator::{
     GrantOutcome, Incarnation, KeyRange, Millis, Order, OrderKind, ReleaseOutcome, SliceManager,
@@ -149,6 +149,54 @@
     );
 }
 
+/// Guards against keys that wait for grants of an earlier coordinator which their owner would
+/// refuse, and against a second owner if that owner is replaced by a process that would not.
+#[test]
+fn an_accepted_grant_ends_the_wait_for_those_of_earlier_coordinators() {
+    struct Case {
+        name: &'static str,
+        /// Start of the process that the first owner's id names in the end.
+        started_ms: u64,
+        /// Earliest and latest time at which the second owner may be granted the keys.
+        within: RangeInclusive<Millis>,
+    }
+    let longest = TIMING.longest_grant_ms();
+    let cases = [
+        Case {
+            name: "the same process",
+            started_ms: 1,
+            within: 3_000..=TIMING.latest_end(100, TIMING.hold_ms),
+        },
+        Case {
+            name: "a restarted process",
+            started_ms: 2,
+            within: longest..=longest + 100,
+        },
+    ];
+    let (first, second) = (incarnation("a"), incarnation("b"));
+    for case in cases {
+        let mut manager = SliceManager::new(Arc::from("archive"), 1, TIMING, Vec::new(), 0);
+        manager.set_incarnations([first.clone(), second.clone()], 0);
+        manager.assign(KeyRange::ALL, &first, 0);
+        let (rows, _) = manager.rows_to_write(90);
+
+        let mut manager = SliceManager::new(Arc::from("archive"), 2, TIMING, rows, 0);
+        manager.set_incarnations([first.clone(), second.clone()], 0);
+        let orders = manager.step(10);
+        manager.on_grant(orders[0].id, GrantOutcome::Accepted, 20);
+        let restarted = Incarnation {
+            started_ms: case.started_ms,
+            ..first.clone()
+        };
+        manager.set_incarnations([restarted, second.clone()], 30);
+        manager.assign(KeyRange::ALL, &second, 40);
+        commit(&mut manager);
+        let granted_at = first_grant_to(&second, &mut manager, 50);
+        let name = case.name;
+        assert!(case.within.contains(&granted_at), "{name}: {granted_at}");
+    }
+}
+
 /// Guards against keys that are never granted again, because they returned to the owner that the
 /// store names before the store named another.
 #[test]
--- a/crates/router/src/control/tenure/plan.rs
+++ b/crates/router/src/control/tenure/plan.rs
@@ -9,7 +9,7 @@
 use routing::Ownership;
 
 use super::{BALANCE_INTERVAL_MS, KeyedService, Tenure};
-use crate::{peers::TargetLoad, state::TargetState};
+use crate::{peers::TargetLoad, ports::GRANT_TIMEOUT, state::TargetState};
 
 /// The first assignment of keys waits until no new target has appeared for this long, because all
 /// targets of a new deployment appear at about the same time. It exceeds the interval at which
@@ -216,6 +216,7 @@
         max_hold_ms,
         renew_ms: RENEW_GRANT_MS.min(max_hold_ms / 3),
         retry_ms: ORDER_RETRY_MS,
+        timeout_ms: u64::try_from(GRANT_TIMEOUT.as_millis()).unwrap_or(u64::MAX),
         unread_ms: ORDER_UNREAD_MS,
         drift_percent: DRIFT_PERCENT,
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,8 +22,8 @@
 mod state;
 
 pub use ports::{
-    CommitResult, OwnRow, OwnRows, ProtocolProfile, Read, Record, RefusalStatus, Revision, Store,
-    StoreError, TargetApi, Topic, Transaction, Update,
+    CommitResult, GRANT_TIMEOUT, OwnRow, OwnRows, ProtocolProfile, Read, Record, RefusalStatus,
+    Revision, Store, StoreError, TargetApi, Topic, Transaction, Update,
 };
 pub use run::{Ports, run};
 pub use settings::{Settings, SettingsError};
--- a/crates/sassafrasd/src/mode.rs
+++ b/crates/sassafrasd/src/mode.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, path::Path, process::ExitCode, sync::Arc, time::Duration};
 
 use provider::{MetadataStore, TargetClient};
-use router::Ports;
+use router::{GRANT_TIMEOUT, Ports};
 use serde::Deserialize;
 use tokio::runtime::Builder;
 
@@ -15,9 +15,6 @@
 /// Timeout of calls to the platform's store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Timeout of a grant.
-const GRANT_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Timeout of a release. The target answers it only after ending its work. The release is sent
 /// again after the timeout, since the answer may have been lost.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
