Refuse what a stopping host cannot answer within its grace period

Report of other operators: requests that came late in the grace of a planned stop were taken, passed on and cut without an answer at its end (LOST), among them ones that may not be repeated. It could happen here, in both modes: - A request whose head or body was completed after the close of connections began was taken whatever time was left. - A caller that always had pipelined requests in flight kept its connection open, and new ones were started, until the process ended. - Forwarded requests were waited for up to the whole limit once more, beyond the grace period.

A pure GracePeriod decides: after the 2.5 s in which the load balancer notices, only requests that must be answered within the period are taken; before that also those for which two latency objectives are left. Others get 503 stopping, not run, with a Retry-After of 20 ms, since another host takes them. A gateway refuses forwarded ones so that the entry host tries the next. What still runs 100 ms before the end gets 502 (may have run) instead of a cut connection. Pipelined requests do not start early while connections close. In the other mode, a request whose deadline exceeds drain_ms is refused once connections are being closed.

--- a/crates/refusal/src/reason.rs
+++ b/crates/refusal/src/reason.rs
@@ -201,6 +201,8 @@
     #[must_use]
     pub fn retry_ms(self) -> Option<u64> {
         match self {
+            // Another host takes the request at once.
+            Self::Stopping => Some(20),
             Self::QueueFull | Self::CallerShare | Self::TargetShed => Some(100),
             Self::TargetFailing
             | Self::TargetDraining
@@ -208,8 +210,7 @@
             | Self::Fenced
             | Self::NoOwner
             | Self::NotGateway
-            | Self::DeadlineBeforeStart
-            | Self::Stopping => Some(500),
+            | Self::DeadlineBeforeStart => Some(500),
             Self::OwnerUnreachable | Self::ClaimUnavailable | Self::LinkBudget | Self::NotReady => {
                 Some(1_000)
             }
--- a/crates/router/src/entry/connection.rs
+++ b/crates/router/src/entry/connection.rs
@@ -50,9 +50,10 @@
     }
 }
 
-/// Serves a connection until the caller closes it, or until `closing` turns true and the requests
-/// in flight are answered.
-pub(super) async fn serve(node: Arc<Node>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+/// Serves a connection until the caller closes it, or until `closed` turns true and the requests in
+/// flight are answered. Pipelined requests that arrive later do not run early, since a caller that
+/// always has some in flight would keep the connection open for ever.
+pub(super) async fn serve(node: Arc<Node>, stream: TcpStream, mut closed: watch::Receiver<bool>) {
     let limits = node.catalog.load().as_ref().map(|it| *it.limits());
     // One timer covers both the head of a request and the time without a request, so the longer
     // limit applies.
@@ -78,20 +79,25 @@
         .serve_connection(TokioIo::new(ahead.clone()), service);
     let mut close = pin!(async move {
         // The sender outlives the connections.
-        let _ = closing.wait_for(|it| *it).await;
+        let _ = closed.wait_for(|it| *it).await;
     });
+    let mut closing = false;
     let mut shutting_down = false;
     let ended = poll_fn(|cx| {
-        if !shutting_down && shared.early().is_empty() && close.as_mut().poll(cx).is_ready() {
-            shutting_down = true;
-            Pin::new(&mut connection).graceful_shutdown();
-        }
+        closing = closing || close.as_mut().poll(cx).is_ready();
         if let Poll::Ready(ended) = connection.poll_without_shutdown(cx) {
             return Poll::Ready(ended.is_ok());
         }
+        if closing && !shutting_down && shared.early().is_empty() {
+            shutting_down = true;
+            Pin::new(&mut connection).graceful_shutdown();
+            if let Poll::Ready(ended) = connection.poll_without_shutdown(cx) {
+                return Poll::Ready(ended.is_ok());
+            }
+        }
         let gone = ahead.poll_read_ahead(cx).is_ready();
         let heads = ahead.take_heads();
-        if !shutting_down {
+        if !closing {
             shared.start_early(heads);
         }
         if gone {
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -27,11 +27,24 @@
 /// Answers a request, or returns why it is refused.
 pub async fn run(node: &Arc<Node>, request: &RoutedRequest) -> Result<Response<Body>, Refusal> {
     let mut trace = RequestTrace::new(node, request);
-    let result = deliver(node, request, &mut trace).await;
+    let result = tokio::select! {
+        biased;
+        result = deliver(node, request, &mut trace) => result,
+        () = node.answers_end() => Err(outlasted_grace_period()),
+    };
     trace.end(&result);
     result
 }
 
+/// The refusal of a request that a target may be working on when the host ends.
+fn outlasted_grace_period() -> Refusal {
+    Refusal {
+        reason: Reason::Stopping,
+        ran: Ran::Unknown,
+        retry_ms: None,
+    }
+}
+
 async fn deliver(
     node: &Arc<Node>,
     request: &RoutedRequest,
@@ -51,6 +64,12 @@
     {
         return Err(Reason::Quarantined.into());
     }
+    if let Some(period) = node.grace_period.get() {
+        if !period.admits(node.clock.now(), &gateway_request) {
+            return Err(Reason::Stopping.into());
+        }
+        gateway_request.end = gateway_request.end.min(period.answers_end());
+    }
     node.retry_budgets
         .on_request(&gateway_request.service, node.clock.now());
     loop {
--- a/crates/router/src/entry/server.rs
+++ b/crates/router/src/entry/server.rs
@@ -1,6 +1,6 @@
 //! The port for requests of callers.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -12,13 +12,9 @@
 /// Body of an answer to a caller.
 pub type Body = Full<Bytes>;
 
-/// Serves requests until `stop` resolves; then waits at most `limit` for the requests in flight.
-pub async fn serve(
-    node: Arc<Node>,
-    listener: TcpListener,
-    stop: impl Future<Output = ()>,
-    limit: Duration,
-) {
+/// Serves requests until `stop` resolves; then waits for the requests in flight, at most until the
+/// end of the grace period.
+pub async fn serve(node: Arc<Node>, listener: TcpListener, stop: impl Future<Output = ()>) {
     let closing = watch::Sender::new(false);
     let mut connections = JoinSet::new();
     let mut stop = std::pin::pin!(stop);
@@ -34,7 +30,8 @@
     drop(listener);
     closing.send_replace(true);
     let ended = async { while connections.join_next().await.is_some() {} };
+    let limit = node.stop().run_left(node.clock.now());
     if tokio::time::timeout(limit, ended).await.is_err() {
-        log::warn!("requests in flight did not complete within {limit:?} and are aborted");
+        log::warn!("answers were not sent within the grace period; their connections are closed");
     }
 }
--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -49,8 +49,14 @@
     let body = body.collect().await.map(Collected::to_bytes).ok();
     let request = body.map(|it| Request::from_parts(parts, it));
     let gateway_request = request.and_then(|it| hop::gateway_request_of(it, node.clock.now()));
+    let period = node.grace_period.get();
     let outcome = if let Some(gateway_request) = gateway_request {
-        exchange::run(node, &gateway_request).await
+        if period.is_some_and(|it| !it.admits_forwarded(&gateway_request)) {
+            // The entry host tries the next gateway.
+            AttemptOutcome::not_sent(Reason::OwnerUnreachable)
+        } else {
+            exchange::run(node, &gateway_request).await
+        }
     } else {
         if let Some(left_out) = node.may_log(LineKind::Attempt) {
             log::warn!(left_out; "a forwarded request is truncated or malformed");
--- a/crates/router/src/gateway/serve/tests.rs
+++ b/crates/router/src/gateway/serve/tests.rs
@@ -1,30 +1,38 @@
+use http::{HeaderMap, Method, uri::PathAndQuery};
 use hyper::client::conn::http2;
 
 use super::*;
-use crate::{fake, gateway::hop};
+use crate::{
+    fake,
+    gateway::{GatewayRequest, QueueId, WaitLimit, hop},
+};
 
-/// Guards against mistaking a gateway's own answer for the answer of a target.
-#[tokio::test]
-async fn a_request_that_cannot_be_read_did_not_run() {
-    let node = Arc::new(fake::node("h1", 7_300));
-    tokio::spawn(bind(Arc::clone(&node)).await.expect("the port is free"));
-    let stream = TcpStream::connect(node.settings.forward).await;
+/// Sends a request to the gateway of a host; returns the outcome that it reports.
+async fn send(node: Arc<Node>, request: Request<Full<Bytes>>) -> AttemptOutcome {
+    let address = node.settings.forward;
+    tokio::spawn(bind(node).await.expect("the port is free"));
+    let stream = TcpStream::connect(address).await;
     let io = TokioIo::new(stream.expect("the port is open"));
     let (mut sender, connection) = http2::handshake(TokioExecutor::new(), io)
         .await
         .expect("the gateway speaks HTTP/2");
     tokio::spawn(connection);
-    let request = Request::get("http://h1/slots/7").body(Full::<Bytes>::default());
-    let answer = sender
-        .send_request(request.expect("the request is valid"))
-        .await;
+    let answer = sender.send_request(request).await;
     let (parts, body) = answer.expect("the gateway answers").into_parts();
     let body = body
         .collect()
         .await
         .expect("the body is complete")
         .to_bytes();
-    let outcome = hop::outcome_of(Response::from_parts(parts, body));
+    hop::outcome_of(Response::from_parts(parts, body))
+}
+
+/// Guards against mistaking a gateway's own answer for the answer of a target.
+#[tokio::test]
+async fn a_request_that_cannot_be_read_did_not_run() {
+    let node = Arc::new(fake::node("h1", 7_300));
+    let request = Request::get("http://h1/slots/7").body(Full::<Bytes>::default());
+    let outcome = send(node, request.expect("the request is valid")).await;
     let not_run = matches!(
         outcome,
         AttemptOutcome::NotRun {
@@ -34,3 +42,68 @@
     );
     assert!(not_run, "{outcome:?}");
 }
+
+/// Guards against a forwarded request that a stopping gateway takes and aborts when it ends, and
+/// against the refusal of one that it can answer.
+#[tokio::test]
+async fn a_stopping_gateway_takes_only_requests_that_it_can_answer() {
+    struct Case {
+        port: u16,
+        stopping: bool,
+        /// Time until the request must have been answered.
+        timeout_ms: u64,
+        reason: Reason,
+    }
+    let cases = [
+        Case {
+            port: 7_310,
+            stopping: false,
+            timeout_ms: 9_000,
+            reason: Reason::NoOwner,
+        },
+        Case {
+            port: 7_320,
+            stopping: true,
+            timeout_ms: 1_000,
+            reason: Reason::NoOwner,
+        },
+        Case {
+            port: 7_330,
+            stopping: true,
+            timeout_ms: 9_000,
+            reason: Reason::OwnerUnreachable,
+        },
+    ];
+    for case in cases {
+        let node = Arc::new(fake::node("h1", case.port));
+        if case.stopping {
+            node.stop();
+        }
+        let now = node.clock.now();
+        let end = now + case.timeout_ms;
+        let request = GatewayRequest {
+            queue: QueueId::Pool {
+                service: "workshop".into(),
+                place: "catania".into(),
+            },
+            service: "workshop".into(),
+            route: "slots".into(),
+            key: None,
+            priority: 0,
+            wait_limit: WaitLimit::Deadline,
+            objective: end,
+            end,
+            deadline: end,
+            method: Method::GET,
+            path: PathAndQuery::from_static("/slots/7"),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+        };
+        let outcome = send(node, hop::request_of(&request, "h1", now)).await;
+        // The fake platform has no targets.
+        let AttemptOutcome::NotRun { reason, offered } = outcome else {
+            panic!("{outcome:?}");
+        };
+        assert_eq!((reason, offered), (case.reason, false));
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -12,6 +12,7 @@
 #[cfg(test)]
 mod fake;
 mod gateway;
+mod grace_period;
 mod node;
 mod observe;
 mod operators;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -7,7 +7,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard, RwLockWriteGuard,
+        Arc, Mutex, MutexGuard, OnceLock, RwLock, RwLockReadGuard, RwLockWriteGuard,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
 };
@@ -22,6 +22,7 @@
 use crate::{
     entry::{MAX_BODY_BYTES, RetryBudgets, Suspects},
     gateway::{AdmissionQueues, Forwarder, PoisonRequests},
+    grace_period::GracePeriod,
     observe::{LineKind, LogLimiter, Metrics, ObservedStore},
     peers::{Event, Feed, HostInfo, Hosts, Position, Report, ReportReply},
     ports::{ProtocolProfile, Store, TargetApi},
@@ -78,6 +79,8 @@
     pub report_soon: Notify,
     /// Becomes true when the host is asked to stop.
     pub stopping: watch::Sender<bool>,
+    /// The grace period; set before `stopping` becomes true.
+    pub grace_period: OnceLock<GracePeriod>,
     targets: RwLock<Targets>,
     tables: RwLock<Tables>,
     feed: Mutex<Feed>,
@@ -131,6 +134,7 @@
             feed_changed: Notify::new(),
             report_soon: Notify::new(),
             stopping: watch::Sender::new(false),
+            grace_period: OnceLock::new(),
             targets: RwLock::default(),
             tables: RwLock::default(),
             feed: Mutex::default(),
@@ -316,6 +320,24 @@
             && !*self.stopping.borrow()
     }
 
+    /// Begins the grace period unless it has begun, and returns it.
+    pub fn stop(&self) -> GracePeriod {
+        let grace = self.settings.bounds.grace;
+        let began = || GracePeriod::new(self.clock.now(), grace);
+        let period = *self.grace_period.get_or_init(began);
+        self.stopping.send_replace(true);
+        period
+    }
+
+    /// Resolves when a stopping host must have sent its last answers.
+    pub async fn answers_end(&self) {
+        // The sender belongs to this node, so the wait cannot fail.
+        let _ = self.stopping.subscribe().wait_for(|it| *it).await;
+        if let Some(period) = self.grace_period.get() {
+            tokio::time::sleep(period.answers_left(self.clock.now())).await;
+        }
+    }
+
     /// Records that the store has `generation`.
     pub fn on_generation(&self, generation: u64) {
         self.targets_mut()
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -1,11 +1,6 @@
 //! Starts and stops the router on one host.
 
-use std::{
-    path::PathBuf,
-    process::ExitCode,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{path::PathBuf, process::ExitCode, sync::Arc};
 
 use tokio::{
     net::TcpListener,
@@ -23,14 +18,6 @@
 /// Exit code if an address cannot be bound.
 const EXIT_NOT_BOUND: u8 = 3;
 
-/// Time for which a stopping host still accepts new connections, because the platform's load
-/// balancer probes each second and removes a host after two failed probes.
-const NOTICE_PERIOD: Duration = Duration::from_millis(2_500);
-
-/// Percentage of the grace period (from the request to stop to the end of the process) within which
-/// requests in flight must complete.
-const GRACE_PERCENT: u32 = 95;
-
 /// The platform's implementation of the router's interfaces.
 pub struct Ports {
     /// The store.
@@ -69,14 +56,13 @@
     tokio::spawn(control::follow(Arc::clone(&node)));
     tokio::spawn(control::catch_up(Arc::clone(&node)));
     let stop = wait_for_stop(Arc::clone(&node));
-    let limit = Duration::from_secs_f64(node.settings.bounds.grace) * GRACE_PERCENT / 100;
-    let limit = limit.saturating_sub(NOTICE_PERIOD);
-    entry::serve(Arc::clone(&node), callers, stop, limit).await;
+    entry::serve(Arc::clone(&node), callers, stop).await;
+    let limit = node.stop().run_left(node.clock.now());
     if tokio::time::timeout(limit, node.queues.idle())
         .await
         .is_err()
     {
-        log::warn!("forwarded requests did not complete within {limit:?} and are aborted");
+        log::warn!("forwarded requests did not complete within the grace period and are aborted");
     }
     log::info!("stopped");
     ExitCode::SUCCESS
@@ -111,8 +97,7 @@
         _ = term.recv() => {}
         _ = int.recv() => {}
     }
-    let began = Instant::now();
     log::info!("stopping");
-    node.stopping.send_replace(true);
-    tokio::time::sleep(NOTICE_PERIOD.saturating_sub(began.elapsed())).await;
+    let period = node.stop();
+    tokio::time::sleep(period.notice_left(node.clock.now())).await;
 }
--- a/crates/sassafrasd/src/host.rs
+++ b/crates/sassafrasd/src/host.rs
@@ -24,7 +24,7 @@
 use crate::{
     budgets::{Budgets, FailurePoint},
     claims::Claims,
-    clock::Clock,
+    clock::{Clock, Millis},
     forward::Forwarder,
     gateway_target::GatewayTarget,
     link::{Crossing, LinkBudget},
@@ -70,6 +70,8 @@
     pub read_soon: Notify,
     /// Set to true when the host is asked to stop.
     pub stopping: watch::Sender<bool>,
+    /// When a stopping host that closes its connections ends at the latest; the maximum before.
+    drain_end: AtomicU64,
     table: RwLock<Table>,
     gateway_targets: RwLock<HashMap<TargetId, Arc<GatewayTarget>>>,
     voters: Mutex<HashMap<TargetId, Voter>>,
@@ -107,6 +109,7 @@
             wake: Notify::new(),
             read_soon: Notify::new(),
             stopping: watch::Sender::new(false),
+            drain_end: AtomicU64::new(u64::MAX),
             table: RwLock::new(Table::new()),
             gateway_targets: RwLock::default(),
             voters: Mutex::default(),
@@ -387,6 +390,19 @@
             .collect()
     }
 
+    /// Begins the time in which requests in flight may end, and returns it.
+    pub fn begin_drain(&self) -> Duration {
+        let drain_ms = self.settings.drain_ms;
+        let end = self.clock.now() + drain_ms;
+        self.drain_end.store(end, Ordering::Relaxed);
+        Duration::from_millis(drain_ms)
+    }
+
+    /// Whether this host may end before a request with this deadline is answered.
+    pub fn may_end_before(&self, deadline: Millis) -> bool {
+        deadline > self.drain_end.load(Ordering::Relaxed)
+    }
+
     /// Whether the host was asked to stop.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/crates/sassafrasd/src/server.rs
+++ b/crates/sassafrasd/src/server.rs
@@ -56,7 +56,7 @@
         }
     }
     drop(listener);
-    let limit = Duration::from_millis(host.settings.drain_ms);
+    let limit = host.begin_drain();
     if tokio::time::timeout(limit, graceful.shutdown())
         .await
         .is_err()
@@ -115,7 +115,11 @@
             return refuse(&reason.into());
         }
     };
-    let result = route::run(host, &inbound).await;
+    let result = if host.may_end_before(inbound.deadline) {
+        Err(Reason::Stopping.into())
+    } else {
+        route::run(host, &inbound).await
+    };
     if inbound.hop == Hop::First {
         let took_ms = host.clock.now().saturating_sub(inbound.arrived);
         #[expect(
--- a/crates/testkit/src/deployment.rs
+++ b/crates/testkit/src/deployment.rs
@@ -131,6 +131,7 @@
                 .as_ref()
                 .map_or(self.platform, |it| it.address),
             seeds,
+            drain_ms: self.layout.drain_ms,
         };
         let mut host = HostNode::start(settings, proxies, self.dir.path()).await;
         let has_view = platform_proxy.is_some();
--- a/crates/testkit/src/layout.rs
+++ b/crates/testkit/src/layout.rs
@@ -37,6 +37,9 @@
     pub work_ms: u64,
     /// Size of the body of each answer in bytes.
     pub body_bytes: usize,
+    /// Time for requests in flight to end at a stop of a host, in milliseconds; `None` for the
+    /// host's default.
+    pub drain_ms: Option<u64>,
 }
 
 impl Layout {
@@ -102,6 +105,7 @@
             proxied: Vec::new(),
             work_ms: 1,
             body_bytes: 1_024,
+            drain_ms: None,
         }
     }
 
@@ -129,6 +133,13 @@
         self
     }
 
+    /// Sets the time for requests in flight to end at a stop of a host, in milliseconds.
+    #[must_use]
+    pub fn with_drain(mut self, drain_ms: u64) -> Self {
+        self.drain_ms = Some(drain_ms);
+        self
+    }
+
     /// Removes all other services from the document.
     #[must_use]
     pub fn with_only_service(mut self, name: &str) -> Self {
--- a/crates/testkit/src/nodes/host.rs
+++ b/crates/testkit/src/nodes/host.rs
@@ -34,6 +34,8 @@
     pub platform: SocketAddr,
     /// Control addresses of other hosts, used if the platform is down when the host starts.
     pub seeds: Vec<SocketAddr>,
+    /// Time for requests in flight to end at a stop, in milliseconds; `None` for the default.
+    pub drain_ms: Option<u64>,
 }
 
 /// An entry host of the deployment.
@@ -74,6 +76,7 @@
             data_centre,
             platform,
             seeds,
+            drain_ms,
         } = settings;
         let (data, peer, operators) = (free_port(), free_port(), free_port());
         let log = dir.join(format!("{name}.log"));
@@ -88,11 +91,14 @@
             inbound_proxies.push(Proxy::start(peer, &log.with_extension("peer")).await);
         }
         let settings_file = dir.join(format!("{name}.yaml"));
-        let text = json!({
+        let mut text = json!({
             "host": name, "data_centre": data_centre, "data": data, "peer": peer,
             "operators": operators, "platform_timeout_ms": 1_000, "seeds": seeds,
             "platform": platform_proxy.as_ref().map_or(platform, |it| it.address),
         });
+        if let Some(drain_ms) = drain_ms {
+            text["drain_ms"] = drain_ms.into();
+        }
         std::fs::write(&settings_file, text.to_string()).expect("the test directory is writable");
         let advertised =
             |idx: usize, direct| inbound_proxies.get(idx).map_or(direct, |it| it.address);
