Keep two bounds in place of a flag for grants of earlier coordinators

The bound for a process that replaces the owner is now kept beside the one for the owner, which an acceptance ends. The benches of the test kit get the new setting.

--- a/crates/coordinator/src/slice_manager/entry.rs
+++ b/crates/coordinator/src/slice_manager/entry.rs
@@ -21,11 +21,13 @@
     pub(super) granted: bool,
     /// Latest end of the grants of this coordinator to the owner; 0 if there are none.
     pub(super) until: Millis,
-    /// Latest end of the grants of earlier coordinators to the owner; 0 if there are none.
+    /// Latest end of the grants of earlier coordinators to the owner; 0 if there are none, and once
+    /// it has accepted a grant of this coordinator for all keys of the slice: it refuses earlier
+    /// ones since then, because their tokens are lower.
     earlier_until: Millis,
-    /// Whether the owner has accepted a grant of this coordinator for all keys of the slice. It
-    /// refuses those of earlier coordinators since then, because their tokens are lower.
-    accepted: bool,
+    /// Latest end of the grants of earlier coordinators to a process that replaces the owner under
+    /// its name, and that knows no tokens.
+    restart_until: Millis,
     /// When the next grant to the owner is due.
     pub(super) renew_at: Millis,
     pub(super) inflight_grant: Option<OrderId>,
@@ -48,7 +50,7 @@
             granted: false,
             until: 0,
             earlier_until: 0,
-            accepted: false,
+            restart_until: 0,
             renew_at: 0,
             inflight_grant: None,
             handover: None,
@@ -75,6 +77,7 @@
             previous_owners,
             recorded: true,
             earlier_until,
+            restart_until: earlier_until,
             ..Self::new(range, owner, token)
         }
     }
@@ -96,11 +99,7 @@
         is_responsive: bool,
         now: Millis,
     ) {
-        let until = if self.accepted {
-            self.until
-        } else {
-            self.until.max(self.earlier_until)
-        };
+        let until = self.until.max(self.earlier_until);
         if self.inflight_grant.is_some() || until > now {
             let mut previous = PreviousOwner::new(self.owner.clone(), until);
             previous.inflight_grant = self.inflight_grant;
@@ -150,8 +149,7 @@
         let Some(incarnation) = successor(&self.owner) else {
             return;
         };
-        // The new process knows no tokens, so it accepts grants of earlier coordinators, too.
-        let until = self.until.max(self.earlier_until);
+        let until = self.until.max(self.restart_until);
         if self.inflight_grant.is_some() || until > now {
             let mut previous = PreviousOwner::new(incarnation, until);
             previous.inflight_grant = self.inflight_grant.take();
@@ -188,13 +186,15 @@
     fn end_hold(&mut self, now: Millis) {
         self.until = self.until.min(now);
         self.earlier_until = self.earlier_until.min(now);
+        self.restart_until = self.restart_until.min(now);
         self.owner_lost = true;
     }
 
     /// Records that the owner has accepted a grant of this coordinator for the keys in `range`.
     pub(super) fn on_accepted(&mut self, range: KeyRange, renew_at: Millis) {
-        let is_covered = self.range.intersection(range) == Some(self.range);
-        self.accepted |= is_covered;
+        if self.range.intersection(range) == Some(self.range) {
+            self.earlier_until = 0;
+        }
         self.renew_at = renew_at;
         self.handover = None;
     }
--- a/crates/testkit/benches/kit/cluster.rs
+++ b/crates/testkit/benches/kit/cluster.rs
@@ -133,6 +133,7 @@
             data_centre: Arc::clone(&self.data_centres[number % self.data_centres.len()]),
             platform,
             seeds: Vec::new(),
+            drain_ms: None,
         };
         let proxies = HostProxies {
             platform: false,
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -112,12 +112,10 @@
     /// The bytes of the request on a connection of HTTP/1.1.
     #[must_use]
     pub fn to_bytes(&self) -> Bytes {
-        let mut text = format!("{} {} HTTP/1.1\r\n", self.method, self.path);
-        for (name, value) in &self.headers {
-            text += &format!("{name}: {value}\r\n");
-        }
-        text += &format!("content-length: {}\r\n\r\n", self.body.len());
-        [text.as_bytes(), &self.body].concat().into()
+        let mut lines = vec![format!("{} {} HTTP/1.1", self.method, self.path)];
+        lines.extend(self.headers.iter().map(|it| format!("{}: {}", it.0, it.1)));
+        lines.push(format!("content-length: {}\r\n\r\n", self.body.len()));
+        [lines.join("\r\n").as_bytes(), &self.body].concat().into()
     }
 
     /// Adds a header.
