Plan owners at a cost proportional to the targets

The coordinator, a host with half a core, had used it up.

Cause: planning. Whether a slice's owner is usable was searched in a list of 485 targets for each of 1,000 slices, after each report and each outcome of an order (1.4 ms each, hundreds a second), and a round of balancing compared names of targets and walked all slices for each pair of targets (36 ms, five times a second). Both grow with each move, which splits slices.

Now usable owners are in a set, planning runs at most every 50 ms, and a round refers to targets by index and keeps the slices of each (3.2 ms in the same program, same moves). Also, the delay in which the coordinator collects updates was capped at 80 ms, so that 195 hosts could make 2,400 calls a second instead of 1,000; the cap is gone, and a version of the configuration is sent at once.

--- a/crates/coordinator/src/balance.rs
+++ b/crates/coordinator/src/balance.rs
@@ -1,6 +1,8 @@
 //! Load balancing: decides which keys move to which target, so that utilisation stays even.
 
-use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use smallvec::SmallVec;
 
 use crate::{
     Incarnation, Key, KeyRange, Slice,
@@ -67,9 +69,13 @@
 struct Plan<'a> {
     loads: &'a [KeyLoad],
     targets: &'a [Candidate],
+    /// Indexes of the targets in `targets`.
+    indexes: HashMap<&'a Incarnation, usize>,
     /// Load of the keys that each target owns, in slots of a target of speed 1.
-    target_loads: BTreeMap<&'a Incarnation, f64>,
+    target_loads: Vec<f64>,
     slices: Vec<OwnedRange>,
+    /// For each target, the indexes of its slices.
+    owned: Vec<SmallVec<[usize; 4]>>,
     moves: Vec<Move>,
 }
 
@@ -83,7 +89,7 @@
 ) -> Vec<Move> {
     let mut plan = Plan::new(slices, targets, loads);
     let unowned_load: f64 = ranges.iter().map(|it| plan.load(*it)).sum();
-    let owned_load: f64 = plan.target_loads.values().sum();
+    let owned_load: f64 = plan.target_loads.iter().sum();
     let total_capacity: f64 = targets.iter().map(|it| it.capacity).sum();
     if total_capacity <= 0.0 {
         return Vec::new();
@@ -92,12 +98,13 @@
     for range in ranges {
         let mut remaining = Some(*range);
         while let Some(unassigned) = remaining {
-            let Some((incarnation, utilisation, capacity)) = plan.least_utilised() else {
+            let Some(least_used) = plan.least_utilised() else {
                 break;
             };
-            let room = (mean_utilisation - utilisation).max(mean_utilisation * 0.2) * capacity;
+            let deficit = mean_utilisation - plan.utilisation(least_used);
+            let room = deficit.max(mean_utilisation * 0.2) * targets[least_used].capacity;
             let part = plan.prefix_with_load(unassigned, room);
-            plan.assign(part, &incarnation);
+            plan.assign(part, least_used);
             remaining = unassigned.above(part.last);
         }
     }
@@ -108,13 +115,13 @@
 #[must_use]
 pub fn rebalance(slices: Vec<OwnedRange>, targets: &[Candidate], loads: &[KeyLoad]) -> Vec<Move> {
     let mut plan = Plan::new(slices, targets, loads);
-    let mut by_utilisation: Vec<&Candidate> = targets.iter().collect();
+    let mut by_utilisation: Vec<usize> = (0..targets.len()).collect();
     while plan.moves.len() < MAX_MOVES {
-        by_utilisation.sort_by(|a, b| plan.utilisation(b).total_cmp(&plan.utilisation(a)));
+        by_utilisation.sort_by(|a, b| plan.utilisation(*b).total_cmp(&plan.utilisation(*a)));
         let mut found = false;
         for busy in &by_utilisation {
-            if let Some((range, to)) = plan.best_move(busy) {
-                plan.assign(range, &to);
+            if let Some((range, to)) = plan.best_move(*busy) {
+                plan.assign(range, to);
                 found = true;
                 break;
             }
@@ -128,41 +135,58 @@
 
 impl<'a> Plan<'a> {
     fn new(slices: Vec<OwnedRange>, targets: &'a [Candidate], loads: &'a [KeyLoad]) -> Self {
+        let indexes = targets.iter().enumerate();
         let mut plan = Self {
             loads,
             targets,
-            target_loads: targets.iter().map(|it| (&it.incarnation, 0.0)).collect(),
+            indexes: indexes.map(|(idx, it)| (&it.incarnation, idx)).collect(),
+            target_loads: vec![0.0; targets.len()],
             slices,
+            owned: Vec::new(),
             moves: Vec::new(),
         };
         for slice in &plan.slices {
-            let load = total_load(loads_in_range(loads, slice.range), slice.range);
-            if let Some(target_load) = plan.target_loads.get_mut(&slice.owner) {
-                *target_load += load;
+            if let Some(idx) = plan.indexes.get(&slice.owner) {
+                plan.target_loads[*idx] += plan.load(slice.range);
             }
         }
+        plan.index_slices();
         plan
     }
 
+    /// Updates `owned` after a change of the slices.
+    fn index_slices(&mut self) {
+        self.owned = vec![SmallVec::new(); self.targets.len()];
+        for (number, slice) in self.slices.iter().enumerate() {
+            if let Some(idx) = self.indexes.get(&slice.owner) {
+                self.owned[*idx].push(number);
+            }
+        }
+    }
+
+    /// The slices of a target that may be moved.
+    fn movable_slices(&self, target: usize) -> impl Iterator<Item = &OwnedRange> {
+        let slices = self.owned[target].iter().map(|it| &self.slices[*it]);
+        slices.filter(|it| it.movable)
+    }
+
     fn load(&self, range: KeyRange) -> f64 {
         total_load(loads_in_range(self.loads, range), range)
     }
 
-    fn utilisation(&self, target: &Candidate) -> f64 {
-        self.target_loads[&target.incarnation] / target.capacity.max(0.01)
+    fn utilisation(&self, target: usize) -> f64 {
+        self.target_loads[target] / self.capacity(target)
     }
 
-    /// Returns the least utilised target, its utilisation and its capacity.
-    fn least_utilised(&self) -> Option<(Incarnation, f64, f64)> {
-        let least_used = self
-            .targets
-            .iter()
-            .min_by(|a, b| self.utilisation(a).total_cmp(&self.utilisation(b)))?;
-        Some((
-            least_used.incarnation.clone(),
-            self.utilisation(least_used),
-            least_used.capacity,
-        ))
+    /// Capacity of a target, at least 0.01.
+    fn capacity(&self, target: usize) -> f64 {
+        self.targets[target].capacity.max(0.01)
+    }
+
+    /// Returns the least utilised target.
+    fn least_utilised(&self) -> Option<usize> {
+        let utilisation = |it: &usize| self.utilisation(*it);
+        (0..self.targets.len()).min_by(|a, b| utilisation(a).total_cmp(&utilisation(b)))
     }
 
     /// Returns the lowest keys of `range` whose total load is about `room`, at least one key.
@@ -202,7 +226,7 @@
         KeyRange::new(range.first, last)
     }
 
-    fn assign(&mut self, range: KeyRange, to: &Incarnation) {
+    fn assign(&mut self, range: KeyRange, to: usize) {
         let load = self.load(range);
         let mut slices = Vec::with_capacity(self.slices.len() + 2);
         for slice in std::mem::take(&mut self.slices) {
@@ -210,8 +234,8 @@
                 slices.push(slice);
                 continue;
             }
-            if let Some(target_load) = self.target_loads.get_mut(&slice.owner) {
-                *target_load -= load;
+            if let Some(idx) = self.indexes.get(&slice.owner) {
+                self.target_loads[*idx] -= load;
             }
             let sides = [
                 slice.range.below(range.first),
@@ -224,32 +248,32 @@
                 });
             }
         }
+        let owner = &self.targets[to].incarnation;
         slices.push(OwnedRange {
             range,
-            owner: to.clone(),
+            owner: owner.clone(),
             movable: false,
         });
         self.slices = slices;
-        if let Some(target_load) = self.target_loads.get_mut(to) {
-            *target_load += load;
-        }
+        self.index_slices();
+        self.target_loads[to] += load;
         self.moves.push(Move {
             range,
-            to: to.clone(),
+            to: owner.clone(),
         });
     }
 
     /// Returns the move of an overloading key to a faster target, if there is one; otherwise the
     /// move from `busy` with the largest gain, if the gain reaches the minimum.
-    fn best_move(&self, busy: &Candidate) -> Option<(KeyRange, Incarnation)> {
+    fn best_move(&self, busy: usize) -> Option<(KeyRange, usize)> {
         let utilisation = self.utilisation(busy);
         let min_gain = MIN_GAIN.max(utilisation * MIN_RELATIVE_GAIN);
         if let Some(found) = self.find_faster_target(busy) {
             return Some(found);
         }
-        let mut best: Option<(f64, KeyRange, &Incarnation)> = None;
-        for other in self.targets {
-            if other.incarnation == busy.incarnation {
+        let mut best: Option<(f64, KeyRange, usize)> = None;
+        for other in 0..self.targets.len() {
+            if other == busy {
                 continue;
             }
             let gap = utilisation - self.utilisation(other);
@@ -257,29 +281,25 @@
                 continue;
             }
             // Moving this load makes the utilisation of both targets equal.
-            let desired_load =
-                gap / (1.0 / busy.capacity.max(0.01) + 1.0 / other.capacity.max(0.01));
+            let desired_load = gap / (1.0 / self.capacity(busy) + 1.0 / self.capacity(other));
             let Some((range, load)) = self.find_window(busy, desired_load) else {
                 continue;
             };
-            let max_after = (utilisation - load / busy.capacity.max(0.01))
-                .max(self.utilisation(other) + load / other.capacity.max(0.01));
+            let max_after = (utilisation - load / self.capacity(busy))
+                .max(self.utilisation(other) + load / self.capacity(other));
             let gain = utilisation - max_after;
             if gain >= min_gain && best.as_ref().is_none_or(|it| gain > it.0) {
-                best = Some((gain, range, &other.incarnation));
+                best = Some((gain, range, other));
             }
         }
-        best.map(|(_, range, to)| (range, to.clone()))
+        best.map(|(_, range, to)| (range, to))
     }
 
     /// Returns the contiguous keys in one slice of `busy` with the largest load that does not
     /// exceed `desired_load`, and that load.
-    fn find_window(&self, busy: &Candidate, desired_load: f64) -> Option<(KeyRange, f64)> {
+    fn find_window(&self, busy: usize, desired_load: f64) -> Option<(KeyRange, f64)> {
         let mut best: Option<(KeyRange, f64)> = None;
-        for slice in &self.slices {
-            if slice.owner != busy.incarnation || !slice.movable {
-                continue;
-            }
+        for slice in self.movable_slices(busy) {
             let loads = loads_in_range(self.loads, slice.range);
             let total = total_load(loads, slice.range);
             if total <= desired_load {
@@ -315,42 +335,37 @@
 
     /// Returns a key that takes more than 90% of the capacity of `busy`, and a faster target for
     /// it.
-    fn find_faster_target(&self, busy: &Candidate) -> Option<(KeyRange, Incarnation)> {
-        for slice in &self.slices {
-            if slice.owner != busy.incarnation || !slice.movable {
-                continue;
-            }
+    fn find_faster_target(&self, busy: usize) -> Option<(KeyRange, usize)> {
+        let capacity = self.targets[busy].capacity;
+        for slice in self.movable_slices(busy) {
             let hottest = loads_in_range(self.loads, slice.range)
                 .iter()
                 .max_by(|a, b| a.load.total_cmp(&b.load));
-            let Some(hottest) = hottest.filter(|it| it.load > 0.9 * busy.capacity) else {
+            let Some(hottest) = hottest.filter(|it| it.load > 0.9 * capacity) else {
                 continue;
             };
-            let best = self
-                .targets
-                .iter()
-                .filter(|it| it.capacity >= busy.capacity * MIN_SPEEDUP)
-                .filter(|it| !self.has_hot_key(it))
+            let faster = |it: &usize| self.targets[*it].capacity >= capacity * MIN_SPEEDUP;
+            let best = (0..self.targets.len())
+                .filter(faster)
+                .filter(|it| !self.has_hot_key(*it))
                 .max_by(|a, b| {
                     let score =
-                        |it: &Candidate| it.capacity - 0.2 * self.target_loads[&it.incarnation];
+                        |it: &usize| self.targets[*it].capacity - 0.2 * self.target_loads[*it];
                     score(a).total_cmp(&score(b))
                 });
             if let Some(best) = best {
-                let range = KeyRange::new(hottest.key, hottest.key);
-                return Some((range, best.incarnation.clone()));
+                return Some((KeyRange::new(hottest.key, hottest.key), best));
             }
         }
         None
     }
 
     /// Whether the target owns a key that takes more than 60% of its capacity.
-    fn has_hot_key(&self, target: &Candidate) -> bool {
-        self.slices.iter().any(|slice| {
-            slice.owner == target.incarnation
-                && loads_in_range(self.loads, slice.range)
-                    .iter()
-                    .any(|it| it.load > 0.6 * target.capacity)
+    fn has_hot_key(&self, target: usize) -> bool {
+        let capacity = self.targets[target].capacity;
+        self.owned[target].iter().any(|it| {
+            let loads = loads_in_range(self.loads, self.slices[*it].range);
+            loads.iter().any(|it| it.load > 0.6 * capacity)
         })
     }
 }
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -35,9 +35,13 @@
 /// Interval at which the lease is renewed.
 const RENEW_INTERVAL_MS: u64 = 500;
 
-/// Interval at which the slice managers are asked for orders.
+/// Longest pause before the slice managers are asked for orders.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Interval at which owners are planned. Planning looks at all targets and slices, while reports and
+/// outcomes of orders arrive hundreds of times a second.
+const PLAN_INTERVAL_MS: u64 = 50;
+
 /// Interval at which loads are balanced.
 const BALANCE_INTERVAL_MS: u64 = 200;
 
@@ -121,6 +125,8 @@
     /// Whether this host has lost the lease: another host holds it, or its row is missing or
     /// malformed.
     superseded: bool,
+    /// When owners are planned next.
+    plan_at: Millis,
     /// When loads are balanced next.
     balance_at: Millis,
     /// The slices that the store held when the tenure began.
@@ -153,6 +159,7 @@
             failures: 0,
             has_successor: false,
             superseded: false,
+            plan_at: now,
             balance_at: now,
             rows,
             services: BTreeMap::new(),
@@ -186,7 +193,10 @@
                 self.release().await;
                 break;
             }
-            self.plan(now);
+            if now >= self.plan_at {
+                self.plan_at = now + PLAN_INTERVAL_MS;
+                self.plan(now);
+            }
             self.send_orders(now);
             if self.has_successor {
                 log::warn!("another host can reach the store; this one resigns");
--- a/crates/router/src/control/tenure/plan.rs
+++ b/crates/router/src/control/tenure/plan.rs
@@ -1,6 +1,6 @@
 //! Plans which target owns which keys.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
 use coordinator::{
     Demand, GrantTiming, Incarnation, Millis, SliceManager,
@@ -166,12 +166,9 @@
             return;
         }
         let manager = &mut self.manager;
-        let is_usable = |incarnation: &Incarnation| {
-            members
-                .usable
-                .iter()
-                .any(|it| it.incarnation == *incarnation)
-        };
+        let usable: HashSet<&Incarnation> =
+            members.usable.iter().map(|it| &it.incarnation).collect();
+        let is_usable = |it: &Incarnation| usable.contains(it);
         let mut unowned = manager.unassigned();
         let empty = manager.slices().next().is_none();
         if empty && now < self.target_peak.1 + FIRST_ASSIGNMENT_WAIT_MS {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -14,6 +14,6 @@
 pub use coordination::{
     Coordination, CoordinationClient, Crash, KeyCount, Report, ReportReply, RouteCost, TargetLoad,
 };
-pub use feed::{Event, Feed, Position};
+pub use feed::{Event, Feed, News, Position};
 pub use hosts::{HostInfo, Hosts};
 pub use server::bind;
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -12,19 +12,17 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{Coordination, Report, ReportReply, client::MAX_MESSAGE_BYTES};
+use super::{Coordination, News, Report, ReportReply, client::MAX_MESSAGE_BYTES};
 use crate::{accept::accept, node::Node};
 
 /// Maximum number of calls of one connection that are served at once.
 const MAX_CALLS_PER_CONNECTION: usize = 4;
 
 /// Delay for each host between the first update and the coordinator's answer, in which it collects
-/// further updates, so that it answers at most 1,000 calls a second whatever the rate of changes.
+/// further updates, so that it answers at most 1,000 calls a second whatever the rate of changes and
+/// the number of hosts. A version of the configuration is not delayed.
 const BATCH_DELAY_PER_HOST: Duration = Duration::from_millis(1);
 
-/// Upper limit of the delay for all hosts together.
-const MAX_BATCH_DELAY: Duration = Duration::from_millis(80);
-
 /// Longest time for which a call waits for updates.
 const MAX_WAIT: Duration = Duration::from_secs(2);
 
@@ -69,7 +67,8 @@
         let known = report.known;
         let wait = Duration::from_millis(report.wait_ms.into()).min(MAX_WAIT);
         node.deliver_report(report);
-        let until = tokio::time::Instant::now() + wait;
+        let mut until = tokio::time::Instant::now() + wait;
+        let mut collects = false;
         loop {
             let changed = node.feed_changed.notified();
             tokio::pin!(changed);
@@ -77,15 +76,14 @@
             if node.needs_successor() || !node.is_coordinator() {
                 break;
             }
-            if node.feed().position() != known {
-                let hosts = u32::try_from(node.hosts.load().iter().count()).unwrap_or(u32::MAX);
-                let batch_delay = BATCH_DELAY_PER_HOST
-                    .saturating_mul(hosts)
-                    .min(MAX_BATCH_DELAY);
-                let end = tokio::time::Instant::now() + batch_delay;
-                tokio::time::sleep_until(end.min(until)).await;
+            let news = node.feed().news_after(known);
+            if news == News::Urgent {
                 break;
             }
+            if news == News::Usual && !collects {
+                collects = true;
+                until = until.min(tokio::time::Instant::now() + batch_delay(&node));
+            }
             if tokio::time::timeout_at(until, changed).await.is_err() {
                 break;
             }
@@ -93,3 +91,8 @@
         node.reply_to(known)
     }
 }
+
+fn batch_delay(node: &Node) -> Duration {
+    let hosts = u32::try_from(node.hosts.load().iter().count()).unwrap_or(u32::MAX);
+    BATCH_DELAY_PER_HOST.saturating_mul(hosts)
+}
