Read only the changes of targets while there is no coordinator

A host whose state is 1.5 s old read the whole lists of targets and of the owners of keys, about six calls and 450 KB at 600 targets, and did so again 1.5 s later. Without a coordinator all 195 hosts do that at once, half of them across regions.

It now asks the store's feed for what changed after the latest known revision, and reads the whole list only if that history is gone or nothing is known; the owners, which only a coordinator changes, at most every 3 s. The search for targets that are missing from a list no longer compares each with all names.

catch_up/tests.rs failed before (1 read of the list in place of 0).

--- a/crates/router/src/control/catch_up.rs
+++ b/crates/router/src/control/catch_up.rs
@@ -2,7 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{follow, watch::read_once};
+use coordinator::Millis;
+
+use super::{
+    follow,
+    watch::{read_once, read_target_changes},
+};
 use crate::{node::Node, ports::Topic};
 
 /// Staleness from which this host reads the store itself. It exceeds the 1 s for which the
@@ -12,12 +17,18 @@
 /// Interval of the store reads.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Shortest time between two reads of the owners of keys. Only a coordinator changes them, so they
+/// change without the knowledge of this host only while it is cut off from the coordinator.
+const SLICES_INTERVAL_MS: u64 = 3_000;
+
 /// Bounds the staleness of this host's state; never returns.
 ///
 /// Without a coordinator every host reads the configuration, which is one row, in each interval, so
 /// that a new version takes effect in time. The targets and the owners of keys are long lists that
-/// all hosts would fetch over the same links, so they are read only when they are stale.
+/// all hosts would fetch over the same links, so they are read only when they are stale: of the
+/// targets only the changes, and the owners less often.
 pub async fn catch_up(node: Arc<Node>) {
+    let mut slices_read: Option<Millis> = None;
     loop {
         tokio::time::sleep(READ_INTERVAL).await;
         let stale = node.age_ms() >= STALE_MS;
@@ -26,10 +37,14 @@
         }
         let sent = node.clock.now();
         let read = read_once(&node, Topic::Catalog).await;
-        if stale && read && read_once(&node, Topic::Targets).await {
+        if !stale || !read || !read_target_changes(&node).await {
+            continue;
+        }
+        if slices_read.is_none_or(|it| sent >= it + SLICES_INTERVAL_MS) {
             follow::read_slices(&node).await;
-            node.set_synced_at(sent);
+            slices_read = Some(sent);
         }
+        node.set_synced_at(sent);
     }
 }
 
--- a/crates/router/src/control/catch_up/tests.rs
+++ b/crates/router/src/control/catch_up/tests.rs
@@ -1,5 +1,9 @@
 use super::*;
-use crate::fake::{EmptyPlatform, node_at};
+use crate::{
+    fake::{EmptyPlatform, node_at},
+    peers::Event,
+    ports::Revision,
+};
 
 /// Guards against a configuration that takes effect late: without a coordinator, a recent read of
 /// the targets and owners must not suppress reads of the configuration.
@@ -22,3 +26,43 @@
     // One read may already have been in flight.
     assert!(store.reads() <= before + 1, "a coordinator reads for all");
 }
+
+/// Guards against hundreds of hosts that read the whole list of targets again and again while there
+/// is no coordinator, and against a host that misses changes because the store lost its history.
+#[tokio::test]
+async fn a_stale_host_reads_the_changes_of_targets() {
+    struct Case {
+        port: u16,
+        knows_targets: bool,
+        has_history: bool,
+        reads: u32,
+    }
+    let case = |port, knows_targets, has_history, reads| Case {
+        port,
+        knows_targets,
+        has_history,
+        reads,
+    };
+    let cases = [
+        case(7_340, true, true, 0),
+        case(7_350, true, false, 1),
+        case(7_360, false, true, 1),
+    ];
+    for case in cases {
+        let store = Arc::new(EmptyPlatform::with_history(case.has_history));
+        let node = Arc::new(node_at("h1", case.port, Arc::clone(&store)));
+        if case.knows_targets {
+            let rev = Revision {
+                generation: 0,
+                number: 5,
+            };
+            node.announce(vec![Event::Target("a".into(), rev, None)]);
+        }
+        let task = tokio::spawn(catch_up(Arc::clone(&node)));
+        let stale = Duration::from_millis(STALE_MS);
+        tokio::time::sleep(stale + READ_INTERVAL + READ_INTERVAL / 2).await;
+        task.abort();
+        assert!(node.age_ms() < STALE_MS, "{}", case.port);
+        assert_eq!(store.target_reads(), case.reads, "{}", case.port);
+    }
+}
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -17,6 +17,9 @@
 /// noticed after this time.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long the store holds a call that only reads what has changed so far.
+const NO_WAIT: Duration = Duration::from_millis(1);
+
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -106,6 +109,27 @@
     }
 }
 
+/// Brings the targets up to date; returns whether that succeeded. Only what changed after the latest
+/// known revision is read, as long as the store still has it: coordinators send changes in the order
+/// of their revisions, so that nothing earlier is missing.
+pub async fn read_target_changes(node: &Node) -> bool {
+    let known = node.targets().latest_rev();
+    let Some(rev) = known else {
+        return read_once(node, Topic::Targets).await;
+    };
+    match node.store.watch(Topic::Targets, rev, NO_WAIT).await {
+        Ok(read) => {
+            apply(node, Topic::Targets, read, false);
+            true
+        }
+        Err(StoreError::HistoryGone) => read_once(node, Topic::Targets).await,
+        Err(err) => {
+            log::debug!("changes of targets cannot be read: {err}");
+            false
+        }
+    }
+}
+
 /// Applies the result of a read. If targets that are missing from a complete list do not count as
 /// gone yet, returns when the list must be read again.
 fn apply(node: &Node, topic: Topic, read: Read, complete: bool) -> Option<Millis> {
--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -23,10 +23,15 @@
     settings::Settings,
 };
 
-/// A platform with an empty store and no targets; counts the reads of the configuration.
+/// A platform with an empty store and no targets; counts the reads of the configuration and of the
+/// list of targets.
 #[derive(Default)]
 pub struct EmptyPlatform {
     reads: AtomicU32,
+    target_reads: AtomicU32,
+    /// Whether the store has the history of its rows, in which nothing has changed; unknown if
+    /// absent.
+    history: Option<bool>,
     /// Result of all commits; unknown if absent.
     commit: Option<CommitResult>,
 }
@@ -40,6 +45,19 @@
         }
     }
 
+    /// Creates a platform whose store has the history of its rows or has lost it.
+    pub fn with_history(has_history: bool) -> Self {
+        Self {
+            history: Some(has_history),
+            ..Self::default()
+        }
+    }
+
+    /// Number of reads of the whole list of targets so far.
+    pub fn target_reads(&self) -> u32 {
+        self.target_reads.load(Ordering::Relaxed)
+    }
+
     /// Number of reads of the configuration so far.
     pub fn reads(&self) -> u32 {
         self.reads.load(Ordering::Relaxed)
@@ -48,14 +66,20 @@
 
 impl Store for EmptyPlatform {
     fn read(&self, topic: Topic) -> BoxFuture<'_, Result<Read, StoreError>> {
-        if topic == Topic::Catalog {
-            self.reads.fetch_add(1, Ordering::Relaxed);
-        }
+        let reads = match topic {
+            Topic::Catalog => &self.reads,
+            Topic::Targets => &self.target_reads,
+        };
+        reads.fetch_add(1, Ordering::Relaxed);
         Box::pin(ready(Ok(Read::default())))
     }
 
     fn watch(&self, _: Topic, _: Revision, _: Duration) -> BoxFuture<'_, Result<Read, StoreError>> {
-        Box::pin(ready(Err(StoreError::NoAnswer)))
+        Box::pin(ready(match self.history {
+            Some(true) => Ok(Read::default()),
+            Some(false) => Err(StoreError::HistoryGone),
+            None => Err(StoreError::NoAnswer),
+        }))
     }
 
     fn own_rows(&self) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -1,7 +1,7 @@
 //! The list of targets.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -154,6 +154,7 @@
     /// Names of the registered targets that are missing from a complete list as of `rev`.
     #[must_use]
     pub fn missing_from(&self, names: &[Arc<str>], rev: Revision) -> Vec<Arc<str>> {
+        let names: HashSet<&Arc<str>> = names.iter().collect();
         let mut missing = Vec::new();
         for (name, known) in &self.known {
             if known.gone_since.is_none() && known.rev <= rev && !names.contains(name) {
@@ -163,6 +164,13 @@
         missing
     }
 
+    /// The latest revision of an entry or a removal; `None` if nothing is known.
+    #[must_use]
+    pub fn latest_rev(&self) -> Option<Revision> {
+        let entries = self.known.values().map(|it| it.rev);
+        entries.chain(self.tombstones.values().copied()).max()
+    }
+
     /// All known targets with their revisions; removed targets without their entry.
     #[must_use]
     pub fn revisions(&self) -> Vec<(Arc<str>, Revision, Option<TargetEntry>)> {
