Let hosts that know no targets pass forwarded requests on

Such a host now answers that it cannot be used, so that the entry host avoids it for a second and tries the next gateway. serve/tests.rs failed before (no_owner in place of owner_unreachable).

--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -10,7 +10,7 @@
 use refusal::Reason;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{AttemptOutcome, exchange, hop};
+use super::{AttemptOutcome, GatewayRequest, exchange, hop};
 use crate::{accept::accept, node::Node, observe::LineKind};
 
 /// Binds the port; resolves to the loop that serves it.
@@ -49,22 +49,27 @@
     let body = body.collect().await.map(Collected::to_bytes).ok();
     let request = body.map(|it| Request::from_parts(parts, it));
     let gateway_request = request.and_then(|it| hop::gateway_request_of(it, node.clock.now()));
-    let period = node.grace_period.get();
-    let outcome = if let Some(gateway_request) = gateway_request {
-        if period.is_some_and(|it| !it.admits_forwarded(&gateway_request)) {
-            // The entry host tries the next gateway.
-            AttemptOutcome::not_sent(Reason::OwnerUnreachable)
-        } else {
-            exchange::run(node, &gateway_request).await
-        }
-    } else {
-        if let Some(left_out) = node.may_log(LineKind::Attempt) {
-            log::warn!(left_out; "a forwarded request is truncated or malformed");
+    let outcome = match gateway_request {
+        // The entry host tries the next gateway.
+        Some(it) if !can_answer(node, &it) => AttemptOutcome::not_sent(Reason::OwnerUnreachable),
+        Some(it) => exchange::run(node, &it).await,
+        None => {
+            if let Some(left_out) = node.may_log(LineKind::Attempt) {
+                log::warn!(left_out; "a forwarded request is truncated or malformed");
+            }
+            AttemptOutcome::not_sent(Reason::NotGateway)
         }
-        AttemptOutcome::not_sent(Reason::NotGateway)
     };
     hop::response_of(outcome)
 }
 
+/// Whether this host can answer a forwarded request: it knows targets, and does not end before the
+/// request must have been answered. Without a coordinator, hosts forward to a host that has
+/// restarted as they did before.
+fn can_answer(node: &Node, request: &GatewayRequest) -> bool {
+    let period = node.grace_period.get();
+    node.is_synced() && period.is_none_or(|it| it.admits_forwarded(request))
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/router/src/gateway/serve/tests.rs
+++ b/crates/router/src/gateway/serve/tests.rs
@@ -4,7 +4,7 @@
 use super::*;
 use crate::{
     fake,
-    gateway::{GatewayRequest, QueueId, WaitLimit, hop},
+    gateway::{QueueId, WaitLimit, hop},
 };
 
 /// Sends a request to the gateway of a host; returns the outcome that it reports.
@@ -43,12 +43,14 @@
     assert!(not_run, "{outcome:?}");
 }
 
-/// Guards against a forwarded request that a stopping gateway takes and aborts when it ends, and
-/// against the refusal of one that it can answer.
+/// Guards against a forwarded request that a stopping gateway takes and aborts when it ends, against
+/// the refusal of one that it can answer, and against one that waits for an owner at a host which
+/// has started while the store was away and knows no targets.
 #[tokio::test]
-async fn a_stopping_gateway_takes_only_requests_that_it_can_answer() {
+async fn a_gateway_takes_only_requests_that_it_can_answer() {
     struct Case {
         port: u16,
+        synced: bool,
         stopping: bool,
         /// Time until the request must have been answered.
         timeout_ms: u64,
@@ -57,25 +59,38 @@
     let cases = [
         Case {
             port: 7_310,
+            synced: true,
             stopping: false,
             timeout_ms: 9_000,
             reason: Reason::NoOwner,
         },
         Case {
             port: 7_320,
+            synced: true,
             stopping: true,
             timeout_ms: 1_000,
             reason: Reason::NoOwner,
         },
         Case {
             port: 7_330,
+            synced: true,
             stopping: true,
             timeout_ms: 9_000,
             reason: Reason::OwnerUnreachable,
         },
+        Case {
+            port: 7_370,
+            synced: false,
+            stopping: false,
+            timeout_ms: 1_000,
+            reason: Reason::OwnerUnreachable,
+        },
     ];
     for case in cases {
         let node = Arc::new(fake::node("h1", case.port));
+        if case.synced {
+            node.set_synced_at(node.clock.now());
+        }
         if case.stopping {
             node.stop();
         }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -313,11 +313,14 @@
         self.synced.store(true, Ordering::Relaxed);
     }
 
+    /// Whether this host's state has been in sync with the store since its start.
+    pub fn is_synced(&self) -> bool {
+        self.synced.load(Ordering::Relaxed)
+    }
+
     /// Whether the host accepts requests.
     pub fn is_ready(&self) -> bool {
-        self.synced.load(Ordering::Relaxed)
-            && self.catalog.load().is_some()
-            && !*self.stopping.borrow()
+        self.is_synced() && self.catalog.load().is_some() && !*self.stopping.borrow()
     }
 
     /// Begins the grace period unless it has begun, and returns it.
