Count the configurations that a host receives, by source and whether they are new

The record of the incident has the bytes of each host, but neither logs nor metrics say how often a host receives a configuration that it already has, which is what distinguishes the first hypothesis from the others.

--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -138,7 +138,11 @@
     let mut names = Vec::new();
     for record in read.records {
         events.push(match record.update {
-            Update::Catalog(catalog) => Event::Catalog(catalog),
+            Update::Catalog(catalog) => {
+                let newer = node.is_newer(&catalog);
+                node.metrics.configuration("store", newer);
+                Event::Catalog(catalog)
+            }
             Update::Target(name, entry) => {
                 names.push(Arc::clone(&name));
                 Event::Target(name, record.rev, entry)
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -257,6 +257,9 @@
     pub fn apply_reply(&self, reply: ReportReply) {
         let mut changed = false;
         for event in &reply.events {
+            if let Event::Catalog(catalog) = event {
+                self.metrics.configuration("host", self.is_newer(catalog));
+            }
             changed |= self.apply(event);
         }
         {
@@ -318,6 +321,12 @@
         self.synced.load(Ordering::Relaxed)
     }
 
+    /// Whether a version of the configuration is newer than the one in force.
+    pub fn is_newer(&self, catalog: &Catalog) -> bool {
+        let known = self.catalog.load().as_ref().map(|it| it.version());
+        known < Some(catalog.version())
+    }
+
     /// Whether the host accepts requests.
     pub fn is_ready(&self) -> bool {
         self.is_synced() && self.catalog.load().is_some() && !*self.stopping.borrow()
@@ -376,8 +385,7 @@
     fn apply(&self, event: &Event) -> bool {
         match event {
             Event::Catalog(catalog) => {
-                let known = self.catalog.load().as_ref().map(|it| it.version());
-                if known.is_some_and(|it| it >= catalog.version()) {
+                if !self.is_newer(catalog) {
                     return false;
                 }
                 log::info!(version = catalog.version(); "a configuration is in force");
--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -44,6 +44,7 @@
     requests: Counter<u64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    configurations: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
     former_holds: Counter<u64>,
@@ -68,6 +69,7 @@
             requests: counter("requests"),
             refusals: counter("refusals"),
             retries: counter("retries"),
+            configurations: counter("configurations_received"),
             store_calls: counter("store_calls"),
             orders: counter("orders"),
             former_holds: counter("former_holds"),
@@ -110,6 +112,13 @@
         self.target_ms.record(millis(took_ms), &labels);
     }
 
+    /// Counts a configuration that was received from the store or from another host, by whether it
+    /// is newer than the one in force.
+    pub fn configuration(&self, from: &'static str, newer: bool) {
+        let labels = [KeyValue::new("from", from), KeyValue::new("newer", newer)];
+        self.configurations.add(1, &labels);
+    }
+
     /// Counts a call to the store.
     pub fn store_call(&self, kind: &'static str, outcome: &'static str) {
         let labels = [
