--- a/crates/testkit/src/proxy/server.rs
+++ b/crates/testkit/src/proxy/server.rs
@@ -150,7 +150,9 @@
         rule
     }
 
-    fn counts(&self) -> ProxyCounts {
+    /// Returns the counters.
+    #[must_use]
+    pub fn counts(&self) -> ProxyCounts {
         let shared = &self.shared;
         ProxyCounts {
             up: shared.up.load(Ordering::Relaxed),
