Read bodies with a time-out for each part of them

A body of 600 KB takes longer than the time-out of a call on a link that carries 200 KB/s. AnswerLimits::read_steadily gives a body up only when no byte of it arrives any more, so that a slow transfer ends.

--- a/crates/pool/src/answer.rs
+++ b/crates/pool/src/answer.rs
@@ -3,6 +3,7 @@
 use std::{
     pin::pin,
     sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
 };
 
 use bytes::{Bytes, BytesMut};
@@ -24,6 +25,8 @@
     TooLong(usize),
     /// the bodies that are being read are longer in total than allowed
     TooManyBytes,
+    /// no byte of the body arrived for {0:?}
+    Stalled(Duration),
 }
 
 /// Limits of bodies that are read into memory.
@@ -59,6 +62,26 @@
     /// Fails if the body exceeds a limit or its connection fails. The connection must be closed
     /// then, because the rest of the body was not read.
     pub async fn read<B>(&self, body: B) -> Result<Bytes, AnswerError>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error>,
+    {
+        self.read_frames(body, None).await
+    }
+
+    /// Reads a body to its end, as long as a part of it arrives in each `pause`. A long body can take
+    /// long on a slow link, while a connection that went silent is noticed early.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`AnswerLimits::read`] does, or if nothing arrives in a `pause`.
+    pub async fn read_steadily<B>(&self, body: B, pause: Duration) -> Result<Bytes, AnswerError>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error>,
+    {
+        self.read_frames(body, Some(pause)).await
+    }
+
+    async fn read_frames<B>(&self, body: B, pause: Option<Duration>) -> Result<Bytes, AnswerError>
     where
         B: Body<Data = Bytes, Error = hyper::Error>,
     {
@@ -68,7 +91,15 @@
         let mut body = pin!(Limited::new(body, self.each));
         let mut reserved = Reservation::new(self);
         let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
+        loop {
+            let frame = match pause {
+                None => body.frame().await,
+                Some(pause) => match tokio::time::timeout(pause, body.frame()).await {
+                    Ok(frame) => frame,
+                    Err(_) => return Err(AnswerError::Stalled(pause)),
+                },
+            };
+            let Some(frame) = frame else { break };
             let frame = frame.map_err(|err| self.error_of(err))?;
             let Ok(data) = frame.into_data() else {
                 continue;
--- a/crates/pool/src/sender.rs
+++ b/crates/pool/src/sender.rs
@@ -83,14 +83,28 @@
         request: Request<Full<Bytes>>,
         limits: &AnswerLimits,
     ) -> Result<Response<Bytes>, AnswerError> {
+        let (parts, body) = self.fetch_head(request, limits).await?.into_parts();
+        let body = limits.read(body).await?;
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Sends a request and reads the head of the answer. The body must be read with `limits`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection fails or the head exceeds its limit. The sender must be dropped
+    /// then.
+    pub async fn fetch_head(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        limits: &AnswerLimits,
+    ) -> Result<Response<Incoming>, AnswerError> {
         self.allowance.set(HEAD_ALLOWANCE_BYTES);
         let answer = self.requests.send_request(request).await?;
         // Chunks may add to the body as many bytes as it has, besides a minimum for short ones.
         let allowance = 2 * limits.each() + HEAD_ALLOWANCE_BYTES;
         self.allowance.set(allowance);
-        let (parts, body) = answer.into_parts();
-        let body = limits.read(body).await?;
-        Ok(Response::from_parts(parts, body))
+        Ok(answer)
     }
 
     /// Sends a request and reads the head of the answer. The body is read as the caller consumes
