Express a version of the configuration as a change of another

Most versions of a configuration of thousands of routes change few of them. A change is used only if it results in exactly the new version, which is checked when it is made. Routes of one length are kept in alphabetical order, so that equal configurations are equal whatever the order of their routes.

--- a/crates/routing/src/catalog.rs
+++ b/crates/routing/src/catalog.rs
@@ -19,7 +19,7 @@
     pub idle_ms: u64,
 }
 
-/// The routes of one host, longest prefix first.
+/// The routes of one host, longest prefix first; prefixes of one length in alphabetical order.
 pub type HostRoutes = Vec<Arc<Route>>;
 
 /// The unchecked contents of a [`Catalog`], which are also its serialised form.
@@ -52,24 +52,38 @@
     ///
     /// Fails with the first rule that the parts violate.
     pub fn new(parts: CatalogParts) -> Result<Self, CatalogError> {
-        let mut services = BTreeMap::new();
-        for service in parts.services {
-            services.insert(Arc::clone(&service.name), Arc::new(service));
-        }
         let mut hosts = BTreeMap::new();
         for (host, routes) in parts.hosts {
-            for route in &routes {
-                check_route(&host, route, &services)?;
+            hosts.insert(host, routes.into_iter().map(Arc::new).collect());
+        }
+        Self::of_routes(parts.version, hosts, parts.services, parts.limits)
+    }
+
+    /// Validates shared routes, in any order, and prepares them for lookups.
+    pub(crate) fn of_routes(
+        version: u64,
+        mut hosts: BTreeMap<Arc<str>, HostRoutes>,
+        services: Vec<Service>,
+        limits: Limits,
+    ) -> Result<Self, CatalogError> {
+        let services: BTreeMap<Arc<str>, Arc<Service>> = services
+            .into_iter()
+            .map(|it| (Arc::clone(&it.name), Arc::new(it)))
+            .collect();
+        for (host, routes) in &mut hosts {
+            for route in &*routes {
+                check_route(host, route, &services)?;
             }
-            let mut routes: HostRoutes = routes.into_iter().map(Arc::new).collect();
-            routes.sort_by_key(|it| std::cmp::Reverse(it.prefix.len()));
-            hosts.insert(host, routes);
+            routes.sort_by(|a, b| {
+                let by_length = b.prefix.len().cmp(&a.prefix.len());
+                by_length.then_with(|| a.prefix.cmp(&b.prefix))
+            });
         }
         Ok(Self {
-            version: parts.version,
+            version,
             hosts,
             services,
-            limits: parts.limits,
+            limits,
         })
     }
 
@@ -85,6 +99,11 @@
         &self.limits
     }
 
+    /// Returns the routes of each host, by its name in lower case.
+    pub(crate) fn hosts(&self) -> &BTreeMap<Arc<str>, HostRoutes> {
+        &self.hosts
+    }
+
     /// Returns the route of `host` whose prefix is the longest one that matches `path`. The case of
     /// the host name and a port in it are ignored.
     #[must_use]
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,12 +5,14 @@
 //! configuration. [`Catalog::find`] is the entry point.
 
 mod catalog;
+mod catalog_change;
 mod catalog_error;
 mod route;
 mod service;
 mod share;
 
 pub use catalog::{Catalog, CatalogParts, HostRoutes, Limits};
+pub use catalog_change::CatalogChange;
 pub use catalog_error::CatalogError;
 pub use route::{Repeat, Route};
 pub use service::{Ownership, Service};
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -3,7 +3,8 @@
 use smallvec::smallvec;
 
 use crate::{
-    Catalog, CatalogError, CatalogParts, Limits, Ownership, Picker, Repeat, Route, Service, Share,
+    Catalog, CatalogChange, CatalogError, CatalogParts, Limits, Ownership, Picker, Repeat, Route,
+    Service, Share,
 };
 
 fn route(prefix: &str, service: &str) -> Route {
@@ -136,3 +137,55 @@
     let parts = CatalogParts::from(catalog.clone());
     assert_eq!(Catalog::new(parts).expect("the parts are valid"), catalog);
 }
+
+/// Guards against a host that applies a change and handles requests by another configuration than
+/// the operator's, and against changes as large as the configuration.
+#[test]
+fn a_change_results_in_the_new_version() {
+    struct Case {
+        name: &'static str,
+        old: Vec<Route>,
+        new: Vec<Route>,
+        /// Routes in the change; `None` if it cannot be expressed.
+        routes: Option<usize>,
+    }
+    let slow = Route {
+        timeout_ms: 2_000,
+        ..route("/b/", "archive")
+    };
+    let a = || route("/a/", "archive");
+    let b = || route("/b/", "archive");
+    let long = || route("/a/long/", "archive");
+    let case = |name, old, new, routes| Case {
+        name,
+        old,
+        new,
+        routes,
+    };
+    let cases = [
+        case("nothing", vec![a(), b()], vec![b(), a()], Some(0)),
+        case("added", vec![a()], vec![a(), b(), long()], Some(2)),
+        case("removed", vec![a(), b()], vec![b()], Some(0)),
+        case("all removed", vec![a()], vec![], Some(0)),
+        case("changed", vec![a(), b()], vec![a(), slow], Some(1)),
+        case("one prefix twice", vec![a()], vec![a(), a()], None),
+    ];
+    for case in cases {
+        let old = Catalog::new(parts(case.old)).expect("the parts are valid");
+        let mut new = parts(case.new);
+        new.version = 8;
+        new.limits.idle_ms = 9_000;
+        let hosts = [(Arc::from("b.example"), vec![a()])];
+        new.hosts.extend(hosts.clone());
+        let new = Catalog::new(new).expect("the parts are valid");
+        let change = CatalogChange::between(&old, &new);
+        // One route of the new host is always sent.
+        let routes = change.as_ref().map(|it| it.routes() - 1);
+        assert_eq!(routes, case.routes, "{}", case.name);
+        let Some(change) = change else { continue };
+        assert_eq!((change.from, change.version), (7, 8), "{}", case.name);
+        assert_eq!(change.apply(&old), Ok(new.clone()), "{}", case.name);
+        let back = CatalogChange::between(&new, &old).expect("hosts can be removed");
+        assert_eq!(back.apply(&new), Ok(old), "{}", case.name);
+    }
+}
