Send a version of the configuration once, and what changed in it only

Cause: a configuration of thousands of routes was transferred whole again and again. Every host without fresh state read it from the store every 500 ms, changed or not; every reply with the full state contained it; every new version was sent whole to each host, 38 times through the link between the regions. Each transfer had a time-out of 0.4 to 0.9 s from its start and was begun again after it, so that the link was full of transfers that nobody waited for. A host that is behind makes every other one later: the state sustains itself after its trigger is gone.

Change: the configuration is no event any more. Replies and reports name its version; a host that lacks it fetches it with a call of its own, on another connection, as the change from the version that it has. One host of each data centre fetches it for the others. Without a coordinator hosts ask the relay, or read only what changed in the store, of the owners of keys too.

The test that versions are urgent moves from the feed to the node, with three cases more.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -2,6 +2,7 @@
 //! runs the coordinator.
 
 mod catch_up;
+mod configuration;
 mod follow;
 mod lease;
 mod loads;
@@ -9,4 +10,5 @@
 mod watch;
 
 pub use catch_up::catch_up;
+pub use configuration::fetch_announced;
 pub use follow::follow;
--- a/crates/router/src/control/catch_up.rs
+++ b/crates/router/src/control/catch_up.rs
@@ -5,10 +5,10 @@
 use coordinator::Millis;
 
 use super::{
-    follow,
-    watch::{read_once, read_target_changes},
+    configuration, follow,
+    watch::{read_catalog_changes, read_target_changes},
 };
-use crate::{node::Node, ports::Topic};
+use crate::node::Node;
 
 /// Staleness from which this host reads the store itself. It exceeds the 1 s for which the
 /// coordinator's own watch of the store may be outstanding.
@@ -23,12 +23,14 @@
 
 /// Bounds the staleness of this host's state; never returns.
 ///
-/// Without a coordinator every host reads the configuration, which is one row, in each interval, so
-/// that a new version takes effect in time. The targets and the owners of keys are long lists that
+/// Without a coordinator every host asks for changes of the configuration in each interval, so that a
+/// new version takes effect in time: one host of each data centre asks the store, and the others ask
+/// that host, because a version may be large. The targets and the owners of keys are long lists that
 /// all hosts would fetch over the same links, so they are read only when they are stale: of the
 /// targets only the changes, and the owners less often.
 pub async fn catch_up(node: Arc<Node>) {
     let mut slices_read: Option<Millis> = None;
+    let mut slices_rev = None;
     loop {
         tokio::time::sleep(READ_INTERVAL).await;
         let stale = node.age_ms() >= STALE_MS;
@@ -36,12 +38,12 @@
             continue;
         }
         let sent = node.clock.now();
-        let read = read_once(&node, Topic::Catalog).await;
+        let read = configuration::ask_relay(&node).await || read_catalog_changes(&node).await;
         if !stale || !read || !read_target_changes(&node).await {
             continue;
         }
         if slices_read.is_none_or(|it| sent >= it + SLICES_INTERVAL_MS) {
-            follow::read_slices(&node).await;
+            slices_rev = follow::read_slices(&node, slices_rev).await;
             slices_read = Some(sent);
         }
         node.set_synced_at(sent);
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -13,7 +13,7 @@
 use crate::{
     node::Node,
     peers::{self, CoordinationClient, Event, Report, ReportReply},
-    ports::OwnRows,
+    ports::{OwnRows, Revision, StoreError},
 };
 
 /// Longest time for which the coordinator holds a report back while it has no updates.
@@ -128,16 +128,32 @@
     log::info!("this host no longer coordinates");
 }
 
-/// Reads the owners of keys from the store.
-pub async fn read_slices(node: &Node) {
-    let Ok(own) = node.store.own_rows().await else {
-        return;
+/// Reads the owners of keys from the store: those that changed after the revision `known`, as long
+/// as the store still has its history, else all. Returns the revision up to which they are known
+/// then.
+pub async fn read_slices(node: &Node, known: Option<Revision>) -> Option<Revision> {
+    let changes = match known {
+        Some(rev) => Some(node.store.own_rows_after(rev).await),
+        None => None,
+    };
+    let (own, rev) = match changes {
+        Some(Ok(own)) => {
+            let last = own.rows.iter().map(|it| it.rev).max();
+            (own, last.max(known))
+        }
+        None | Some(Err(StoreError::HistoryGone)) => {
+            let own = node.store.own_rows().await.ok()?;
+            let rev = own.rev();
+            (own, Some(rev))
+        }
+        Some(Err(_)) => return known,
     };
     let mut events = Vec::new();
     for row in slice_rows(&own) {
         events.push(Event::Slice(Arc::clone(&row.service), row.slice()));
     }
     node.announce(events);
+    rev
 }
 
 fn slice_rows(own: &OwnRows) -> Vec<SliceRow> {
@@ -241,6 +257,7 @@
         host: node.info.clone(),
         serves: !*node.stopping.borrow(),
         known: node.feed().position(),
+        catalog: node.catalog.announced(),
         span_ms,
         loads,
         crashes: node.poison_requests.take_crashes(),
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -8,9 +8,10 @@
 use coordinator::Millis;
 
 use crate::{
-    node::Node,
+    node::{CatalogSource, Node},
     peers::Event,
-    ports::{Read, StoreError, Topic, Update},
+    ports::{Read, Revision, StoreError, Topic, Update},
+    state::CatalogMark,
 };
 
 /// How long the store holds a watch while there are no updates. A connection that went silent is
@@ -77,6 +78,9 @@
                 }
                 let at = if complete { sent } else { node.clock.now() };
                 sync_times.record(&node, topic, at);
+                if topic == Topic::Catalog {
+                    confirm_catalog(&node, rev, at);
+                }
                 outage = None;
                 if unreadable {
                     // An unreadable change does not advance the watch, which returns at once.
@@ -109,6 +113,45 @@
     }
 }
 
+/// Brings the configuration up to date; returns whether that succeeded. The configuration may be
+/// large, so it is read only if it changed after the revision up to which it is known, as long as
+/// the store still has its history.
+pub async fn read_catalog_changes(node: &Node) -> bool {
+    let sent = node.clock.now();
+    let known = node.catalog.mark().and_then(|it| it.rev);
+    let read = match known {
+        Some(rev) => node.store.watch(Topic::Catalog, rev, NO_WAIT).await,
+        None => node.store.read(Topic::Catalog).await,
+    };
+    let (read, known) = match read {
+        Err(StoreError::HistoryGone) => (node.store.read(Topic::Catalog).await, None),
+        read => (read, known),
+    };
+    match read {
+        Ok(read) => {
+            let rev = match known {
+                Some(known) => read.last_rev.max(Some(known)),
+                None => Some(read.rev),
+            };
+            apply(node, Topic::Catalog, read, known.is_none());
+            confirm_catalog(node, rev, sent);
+            true
+        }
+        Err(err) => {
+            log::debug!("the configuration cannot be read: {err}");
+            false
+        }
+    }
+}
+
+/// Records that the store has no newer version than the one in force up to `rev`. After the store
+/// has come back from a copy, the version in force may be newer than the store's.
+fn confirm_catalog(node: &Node, rev: Option<Revision>, at: Millis) {
+    if let Some(version) = node.catalog.version() {
+        node.catalog.confirm(CatalogMark { version, rev }, at);
+    }
+}
+
 /// Brings the targets up to date; returns whether that succeeded. Only what changed after the latest
 /// known revision is read, as long as the store still has it: coordinators send changes in the order
 /// of their revisions, so that nothing earlier is missing.
@@ -137,17 +180,13 @@
     let mut events = Vec::new();
     let mut names = Vec::new();
     for record in read.records {
-        events.push(match record.update {
-            Update::Catalog(catalog) => {
-                let newer = node.is_newer(&catalog);
-                node.metrics.configuration("store", newer);
-                Event::Catalog(catalog)
-            }
+        match record.update {
+            Update::Catalog(catalog) => node.adopt_catalog(catalog, CatalogSource::Store),
             Update::Target(name, entry) => {
                 names.push(Arc::clone(&name));
-                Event::Target(name, record.rev, entry)
+                events.push(Event::Target(name, record.rev, entry));
             }
-        });
+        }
     }
     let mut read_again_at = None;
     if complete && topic == Topic::Targets {
--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -86,6 +86,14 @@
         Box::pin(ready(Ok(OwnRows::default())))
     }
 
+    fn own_rows_after(&self, _: Revision) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
+        Box::pin(ready(match self.history {
+            Some(true) => Ok(OwnRows::default()),
+            Some(false) => Err(StoreError::HistoryGone),
+            None => Err(StoreError::NoAnswer),
+        }))
+    }
+
     fn own_row<'a>(&'a self, _: &'a str) -> BoxFuture<'a, Result<OwnRows, StoreError>> {
         Box::pin(ready(Err(StoreError::NoAnswer)))
     }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -12,7 +12,7 @@
     },
 };
 
-use arc_swap::{ArcSwap, ArcSwapOption};
+use arc_swap::ArcSwap;
 use coordinator::{Millis, SliceTable};
 use pool::AnswerLimits;
 use process::BootClock;
@@ -28,7 +28,7 @@
     ports::{ProtocolProfile, Store, TargetApi},
     run::Ports,
     settings::Settings,
-    state::Targets,
+    state::{Catalogs, Targets},
 };
 
 /// Slices by service.
@@ -37,6 +37,35 @@
 /// Most bytes of answers that are being read at the same time: a quarter of the 260 MB of a host.
 const MAX_ANSWERS_BYTES: usize = 64 << 20;
 
+/// What another host lacks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum News {
+    /// Nothing.
+    None,
+    /// A version of the configuration, which must be in force everywhere within seconds.
+    Urgent,
+    /// Events.
+    Usual,
+}
+
+/// Where a version of the configuration was received from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CatalogSource {
+    /// Another host.
+    Host,
+    /// The store.
+    Store,
+}
+
+impl CatalogSource {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Host => "host",
+            Self::Store => "store",
+        }
+    }
+}
+
 /// State that the tasks of one host share.
 pub struct Node {
     /// The settings.
@@ -55,8 +84,8 @@
     pub store: Arc<dyn Store>,
     /// Orders to targets.
     pub target_api: Arc<dyn TargetApi>,
-    /// The configuration in force; `None` until one is known.
-    pub catalog: ArcSwapOption<Catalog>,
+    /// The configuration.
+    pub catalog: Catalogs,
     /// The hosts that serve.
     pub hosts: ArcSwap<Hosts>,
     /// Admission queues of the targets whose gateway this host is.
@@ -120,7 +149,7 @@
             log_limiter: LogLimiter::new(clock.now()),
             store: Arc::new(store),
             target_api: ports.target_api,
-            catalog: ArcSwapOption::empty(),
+            catalog: Catalogs::default(),
             queues: AdmissionQueues::new(clock),
             answer_limits: AnswerLimits::new(MAX_BODY_BYTES, MAX_ANSWERS_BYTES),
             forwarder: Forwarder::new(),
@@ -227,6 +256,31 @@
         }
     }
 
+    /// Puts a version of the configuration in force if it is newer than the current one, and tells
+    /// other hosts.
+    pub fn adopt_catalog(&self, catalog: Arc<Catalog>, from: CatalogSource) {
+        let version = catalog.version();
+        let newer = self.catalog.adopt(catalog);
+        self.metrics.configuration(from.label(), newer);
+        if newer {
+            log::info!(version, from = from.label(); "a configuration is in force");
+            self.state_changed.notify_waiters();
+            self.feed_changed.notify_waiters();
+        }
+    }
+
+    /// What a host lacks that knows all events up to `known`, and has heard of the version `catalog`
+    /// of the configuration.
+    pub fn news_after(&self, known: Position, catalog: Option<u64>) -> News {
+        if catalog < self.catalog.version() {
+            News::Urgent
+        } else if known == self.feed().position() {
+            News::None
+        } else {
+            News::Usual
+        }
+    }
+
     /// Applies events and publishes them to other hosts.
     ///
     /// Only the coordinator numbers events. What another host read from the store itself is not
@@ -255,11 +309,13 @@
     /// Applies the reply of another host and adopts its position in the sequence, so that this host
     /// can pass the events on.
     pub fn apply_reply(&self, reply: ReportReply) {
+        if let Some(mark) = reply.catalog {
+            self.catalog.announce(Some(mark.version));
+            let checked_at = self.clock.now().saturating_sub(reply.age_ms);
+            self.catalog.confirm(mark, checked_at);
+        }
         let mut changed = false;
         for event in &reply.events {
-            if let Event::Catalog(catalog) = event {
-                self.metrics.configuration("host", self.is_newer(catalog));
-            }
             changed |= self.apply(event);
         }
         {
@@ -300,6 +356,7 @@
             position,
             complete,
             events: events.unwrap_or_else(|| self.full_state()),
+            catalog: self.catalog.mark(),
             age_ms: self.age_ms(),
         }
     }
@@ -321,12 +378,6 @@
         self.synced.load(Ordering::Relaxed)
     }
 
-    /// Whether a version of the configuration is newer than the one in force.
-    pub fn is_newer(&self, catalog: &Catalog) -> bool {
-        let known = self.catalog.load().as_ref().map(|it| it.version());
-        known < Some(catalog.version())
-    }
-
     /// Whether the host accepts requests.
     pub fn is_ready(&self) -> bool {
         self.is_synced() && self.catalog.load().is_some() && !*self.stopping.borrow()
@@ -364,9 +415,6 @@
     /// The full state of this host as events.
     fn full_state(&self) -> Vec<Event> {
         let mut events = Vec::new();
-        if let Some(catalog) = self.catalog.load_full() {
-            events.push(Event::Catalog(catalog));
-        }
         for (name, rev, entry) in self.targets().revisions() {
             events.push(Event::Target(name, rev, entry));
         }
@@ -384,14 +432,6 @@
     /// Applies one event; returns whether it changed the state.
     fn apply(&self, event: &Event) -> bool {
         match event {
-            Event::Catalog(catalog) => {
-                if !self.is_newer(catalog) {
-                    return false;
-                }
-                log::info!(version = catalog.version(); "a configuration is in force");
-                self.catalog.store(Some(Arc::clone(catalog)));
-                true
-            }
             Event::Target(name, rev, entry) => {
                 let now = self.clock.now();
                 let changed = self.targets_mut().apply(name, *rev, entry.clone(), now);
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -1,3 +1,6 @@
+use std::collections::BTreeMap;
+
+use routing::{CatalogParts, Limits};
 use tokio::sync::mpsc;
 
 use super::*;
@@ -108,3 +111,66 @@
     sync(&coordinator, &late);
     assert_eq!(names(&late), names(&coordinator));
 }
+
+fn catalog(version: u64) -> Arc<Catalog> {
+    let parts = CatalogParts {
+        version,
+        hosts: BTreeMap::new(),
+        services: Vec::new(),
+        limits: Limits {
+            head_bytes: 1,
+            body_bytes: 1,
+            head_ms: 1,
+            idle_ms: 1,
+        },
+    };
+    Arc::new(Catalog::new(parts).expect("the configuration is valid"))
+}
+
+/// Guards against a version of the configuration that waits with other events until a coordinator
+/// of many hosts answers, and against answers that are sent too often because another version came
+/// before.
+#[test]
+fn only_versions_of_the_configuration_are_urgent() {
+    struct Case {
+        name: &'static str,
+        known: Position,
+        catalog: Option<u64>,
+        news: News,
+    }
+    let (coordinator, _) = pair();
+    coordinator.adopt_catalog(catalog(4), CatalogSource::Store);
+    coordinator.announce(vec![target("b", 2), target("c", 3)]);
+    let now = coordinator.feed().position();
+    let earlier = Position { number: 1, ..now };
+    let other = Position { term: 0, number: 9 };
+    let case = |name, known, catalog, news| Case {
+        name,
+        known,
+        catalog,
+        news,
+    };
+    let cases = [
+        case("nothing new", now, Some(4), News::None),
+        case("a later version", now, Some(5), News::None),
+        case("events", earlier, Some(4), News::Usual),
+        case("the version", now, Some(3), News::Urgent),
+        case("the version and events", earlier, Some(3), News::Urgent),
+        case("any version", now, None, News::Urgent),
+        case("an earlier term", other, Some(4), News::Usual),
+    ];
+    for case in cases {
+        let news = coordinator.news_after(case.known, case.catalog);
+        assert_eq!(news, case.news, "{}", case.name);
+    }
+}
+
+/// Guards against a reply that tells of a version of the configuration by sending it whole.
+#[test]
+fn replies_name_the_version_of_the_configuration() {
+    let (coordinator, follower) = pair();
+    coordinator.adopt_catalog(catalog(4), CatalogSource::Store);
+    assert_eq!(sync(&coordinator, &follower), 0);
+    assert_eq!(follower.catalog.announced(), Some(4));
+    assert_eq!(follower.catalog.version(), None);
+}
--- a/crates/router/src/observe/store.rs
+++ b/crates/router/src/observe/store.rs
@@ -89,6 +89,14 @@
         })
     }
 
+    fn own_rows_after(&self, after: Revision) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
+        Box::pin(async move {
+            let result = self.inner.own_rows_after(after).await;
+            self.record("own_rows_after", &result);
+            result
+        })
+    }
+
     fn own_row<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<OwnRows, StoreError>> {
         Box::pin(async move {
             let result = self.inner.own_row(name).await;
--- a/crates/router/src/peers/coordination.rs
+++ b/crates/router/src/peers/coordination.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Event, HostInfo, Position};
+use crate::state::{CatalogMark, CatalogUpdate};
 
 /// Requests for one key.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -63,6 +64,8 @@
     pub serves: bool,
     /// The position up to which it knows all events.
     pub known: Position,
+    /// The newest version of the configuration that it has heard of.
+    pub catalog: Option<u64>,
     /// Milliseconds since its last report.
     pub span_ms: u32,
     /// Load of the targets whose gateway it is.
@@ -96,6 +99,8 @@
     pub complete: bool,
     /// The events.
     pub events: Vec<Event>,
+    /// The version of the configuration in force; `None` until one is known.
+    pub catalog: Option<CatalogMark>,
     /// Staleness: milliseconds since the configuration and the targets were in sync with the store.
     pub age_ms: u64,
 }
@@ -108,9 +113,34 @@
     }
 }
 
+/// A request for the configuration.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct CatalogQuery {
+    /// The version that the asking host has.
+    pub known: Option<u64>,
+    /// The version that it has heard of; the answer waits for it.
+    pub wanted: Option<u64>,
+    /// Longest time in milliseconds for which the answer may wait.
+    pub wait_ms: u32,
+}
+
+/// The answer to a request for the configuration.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct CatalogAnswer {
+    /// What the asking host lacks; `None` if the answering host has nothing newer.
+    pub update: Option<CatalogUpdate>,
+    /// The version that the answering host has.
+    pub mark: Option<CatalogMark>,
+    /// Milliseconds since that version was known to be the newest one.
+    pub age_ms: u64,
+}
+
 /// Messages between hosts.
 #[tarpc::service]
 pub trait Coordination {
     /// Reports to the host and waits for updates.
     async fn sync(report: Report) -> ReportReply;
+
+    /// Asks for the configuration.
+    async fn catalog(query: CatalogQuery) -> CatalogAnswer;
 }
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -3,7 +3,6 @@
 use std::{collections::VecDeque, sync::Arc};
 
 use coordinator::Slice;
-use routing::Catalog;
 use serde::{Deserialize, Serialize};
 
 use super::HostInfo;
@@ -15,8 +14,6 @@
 /// A state change that is replicated to every host.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum Event {
-    /// A version of the configuration.
-    Catalog(Arc<Catalog>),
     /// A target as of a revision of the store; `None` if it is gone.
     Target(Arc<str>, Revision, Option<TargetEntry>),
     /// A slice of a service.
@@ -40,24 +37,11 @@
     pub number: u64,
 }
 
-/// What a host lacks.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum News {
-    /// Nothing.
-    None,
-    /// A version of the configuration, which must be in force everywhere within seconds.
-    Urgent,
-    /// Other events.
-    Usual,
-}
-
 /// The latest events of a term.
 #[derive(Clone, Debug, Default)]
 pub struct Feed {
     position: Position,
     events: VecDeque<Event>,
-    /// Number of the latest event with a version of the configuration; 0 if the term has none.
-    catalog_number: u64,
 }
 
 impl Feed {
@@ -71,7 +55,6 @@
     pub fn restart(&mut self, position: Position) {
         self.position = position;
         self.events.clear();
-        self.catalog_number = 0;
     }
 
     /// Goes back to the beginning of the term, so that every event of it is treated as new.
@@ -83,9 +66,6 @@
     /// Adds an event.
     pub fn push(&mut self, event: Event) {
         self.position.number += 1;
-        if matches!(event, Event::Catalog(_)) {
-            self.catalog_number = self.position.number;
-        }
         self.events.push_back(event);
         if self.events.len() > MAX_EVENTS {
             self.events.pop_front();
@@ -105,18 +85,6 @@
         }
     }
 
-    /// What a host that knows everything up to `known` lacks.
-    #[must_use]
-    pub fn news_after(&self, known: Position) -> News {
-        if known == self.position {
-            News::None
-        } else if known.term == self.position.term && known.number < self.catalog_number {
-            News::Urgent
-        } else {
-            News::Usual
-        }
-    }
-
     /// The events after `known`; `None` if some of them are no longer kept.
     #[must_use]
     pub fn after(&self, known: Position) -> Option<Vec<Event>> {
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -12,8 +12,13 @@
 };
 use tokio::net::{TcpListener, TcpStream};
 
-use super::{Coordination, News, Report, ReportReply, client::MAX_MESSAGE_BYTES};
-use crate::{accept::accept, node::Node};
+use super::{
+    CatalogAnswer, CatalogQuery, Coordination, Report, ReportReply, client::MAX_MESSAGE_BYTES,
+};
+use crate::{
+    accept::accept,
+    node::{News, Node},
+};
 
 /// Maximum number of calls of one connection that are served at once.
 const MAX_CALLS_PER_CONNECTION: usize = 4;
@@ -64,7 +69,7 @@
 impl Coordination for Server {
     async fn sync(self, _: Context, report: Report) -> ReportReply {
         let node = self.node;
-        let known = report.known;
+        let (known, catalog) = (report.known, report.catalog);
         let wait = Duration::from_millis(report.wait_ms.into()).min(MAX_WAIT);
         node.deliver_report(report);
         let mut until = tokio::time::Instant::now() + wait;
@@ -76,7 +81,7 @@
             if node.needs_successor() || !node.is_coordinator() {
                 break;
             }
-            let news = node.feed().news_after(known);
+            let news = node.news_after(known, catalog);
             if news == News::Urgent {
                 break;
             }
@@ -90,6 +95,29 @@
         }
         node.reply_to(known)
     }
+
+    async fn catalog(self, _: Context, query: CatalogQuery) -> CatalogAnswer {
+        let node = self.node;
+        node.catalog.announce(query.wanted);
+        let wait = Duration::from_millis(query.wait_ms.into()).min(MAX_WAIT);
+        let until = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = node.feed_changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if node.catalog.version() >= query.wanted
+                || tokio::time::timeout_at(until, changed).await.is_err()
+            {
+                break;
+            }
+        }
+        let now = node.clock.now();
+        CatalogAnswer {
+            update: node.catalog.update_since(query.known),
+            mark: node.catalog.mark(),
+            age_ms: now.saturating_sub(node.catalog.checked_at()),
+        }
+    }
 }
 
 fn batch_delay(node: &Node) -> Duration {
--- a/crates/router/src/ports/store.rs
+++ b/crates/router/src/ports/store.rs
@@ -72,6 +72,19 @@
     pub store_ms: Millis,
     /// The store's generation.
     pub generation: u64,
+    /// Number of the newest revision of the store.
+    pub number: u64,
+}
+
+impl OwnRows {
+    /// The newest revision of the store.
+    #[must_use]
+    pub fn rev(&self) -> Revision {
+        Revision {
+            generation: self.generation,
+            number: self.number,
+        }
+    }
 }
 
 /// An atomic change of the router's own rows.
@@ -138,6 +151,10 @@
     /// Reads the router's own rows.
     fn own_rows(&self) -> BoxFuture<'_, Result<OwnRows, StoreError>>;
 
+    /// Reads the router's own rows that were written after the revision `after`. Fails with
+    /// [`StoreError::HistoryGone`] if the store does not have its history any more.
+    fn own_rows_after(&self, after: Revision) -> BoxFuture<'_, Result<OwnRows, StoreError>>;
+
     /// Reads one of the router's own rows.
     fn own_row<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<OwnRows, StoreError>>;
 
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,7 +1,9 @@
-//! The targets that this host knows.
+//! The configuration and the targets that this host knows.
 
+mod catalogs;
 mod target;
 mod targets;
 
+pub use catalogs::{CatalogMark, CatalogUpdate, Catalogs};
 pub use target::{TargetEntry, TargetState};
 pub use targets::Targets;
