Wait for the answer of a host as long as it arrives

A reply that took longer than 0.9 s from the report was given up and asked for again. Calls between hosts now fail if the answer does not begin in time, or if nothing of it arrives for 400 ms.

Test: an answer over a link that carries 5 KB/s takes more than twice the limit and arrives; one that stops, or does not begin, is given up. tokio-util, which was a dependency of dependencies, counts the bytes.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -11,4 +11,6 @@
 
 pub use catch_up::catch_up;
 pub use configuration::fetch_announced;
+#[cfg(test)]
+pub use follow::build_report;
 pub use follow::follow;
--- a/crates/router/src/control/configuration.rs
+++ b/crates/router/src/control/configuration.rs
@@ -7,12 +7,11 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use smallvec::SmallVec;
-use tarpc::context;
 
 use super::watch::read_catalog_changes;
 use crate::{
     node::{CatalogSource, Node},
-    peers::{self, CatalogAnswer, CatalogQuery, HostInfo},
+    peers::{CatalogAnswer, CatalogQuery, HostInfo, PeerClient},
 };
 
 /// Name under which the hosts of a data centre are ranked as its relay.
@@ -25,18 +24,18 @@
 /// two round trips between regions and the transfer.
 const RELAY_WAIT: Duration = Duration::from_millis(500);
 
-/// Longest wait for the answer of the relay, which is in the same data centre.
+/// Longest wait until the relay, which is in the same data centre, begins to answer.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Longest wait for the answer of the coordinator at the first attempt; it doubles with each failed
-/// attempt, so that a transfer over a slow link ends at some time.
-const FIRST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait until the coordinator begins to answer.
+const COORDINATOR_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Failed attempts that lengthen the wait.
-const MAX_DOUBLINGS: u32 = 3;
+/// Pause after the first failed attempt. It doubles with each further one, so that hosts that cannot
+/// get a version do not use up their links.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Pause after the first failed attempt; it doubles as well.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Failed attempts that lengthen the pause.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// Longest wait of a host for the relay's answer whether there is a new version.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -57,20 +56,19 @@
             let _ = announced.changed().await;
             continue;
         }
-        if fetch(&node, wanted, failures).await {
+        if fetch(&node, wanted).await {
             continue;
         }
         log::warn!(version = wanted, failures; "a version of the configuration could not be fetched");
-        failures = (failures + 1).min(MAX_DOUBLINGS);
         let pause = RETRY_PAUSE * 2_u32.pow(failures);
+        failures = (failures + 1).min(MAX_DOUBLINGS);
         tokio::time::sleep(pause.mul_f64(rand::random::<f64>() + 0.5)).await;
     }
 }
 
 /// Fetches `wanted` from the relay or the coordinator, or else from the store; returns whether this
 /// host has it then.
-async fn fetch(node: &Node, wanted: Option<u64>, failures: u32) -> bool {
-    let timeout = FIRST_TIMEOUT * 2_u32.pow(failures);
+async fn fetch(node: &Node, wanted: Option<u64>) -> bool {
     let query = CatalogQuery {
         known: node.catalog.version(),
         wanted,
@@ -80,10 +78,10 @@
     if let Some(relay) = relay(node) {
         let wait_ms = u32::try_from(RELAY_WAIT.as_millis()).unwrap_or(u32::MAX);
         let query = CatalogQuery { wait_ms, ..query };
-        sources.push((relay.peer, query, RELAY_TIMEOUT * 2_u32.pow(failures)));
+        sources.push((relay.peer, query, RELAY_TIMEOUT));
     }
     if let Some(coordinator) = node.coordinator().filter(|it| *it != node.info.peer) {
-        sources.push((coordinator, query, timeout));
+        sources.push((coordinator, query, COORDINATOR_TIMEOUT));
     }
     for (address, query, timeout) in sources {
         if let Some(answer) = ask(address, query, timeout).await {
@@ -128,20 +126,14 @@
     (relay.name != node.info.name).then(|| relay.clone())
 }
 
-async fn ask(address: SocketAddr, query: CatalogQuery, timeout: Duration) -> Option<CatalogAnswer> {
-    let client = peers::connect(address, CONNECT_TIMEOUT).await.ok()?;
-    let mut context = context::current();
-    context.deadline = std::time::Instant::now() + timeout;
-    match tokio::time::timeout(timeout, client.catalog(context, query)).await {
-        Ok(Ok(answer)) => Some(answer),
-        Ok(Err(err)) => {
+async fn ask(address: SocketAddr, query: CatalogQuery, limit: Duration) -> Option<CatalogAnswer> {
+    let client = PeerClient::connect(address, CONNECT_TIMEOUT).await.ok()?;
+    match client.catalog(query, limit).await {
+        Ok(answer) => Some(answer),
+        Err(err) => {
             log::debug!("{address} did not answer a request for the configuration: {err}");
             None
         }
-        Err(_) => {
-            log::debug!("{address} did not answer a request for the configuration in time");
-            None
-        }
     }
 }
 
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -3,7 +3,6 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use coordinator::SliceRow;
-use tarpc::context;
 
 use super::{
     lease::{Lease, LeaseView},
@@ -12,7 +11,7 @@
 };
 use crate::{
     node::Node,
-    peers::{self, CoordinationClient, Event, Report, ReportReply},
+    peers::{Event, PeerClient, Report, ReportReply},
     ports::{OwnRows, Revision, StoreError},
 };
 
@@ -176,7 +175,7 @@
     let mut failures = 0;
     let mut store_reachable = None;
     while failures < MAX_FAILURES {
-        let Ok(client) = peers::connect(address, CONNECT_TIMEOUT).await else {
+        let Ok(client) = PeerClient::connect(address, CONNECT_TIMEOUT).await else {
             failures += 1;
             tokio::time::sleep(RETRY_PAUSE / 2).await;
             continue;
@@ -212,7 +211,7 @@
 /// Sends one report and waits for the reply; urgent reports are sent meanwhile.
 async fn exchange(
     node: &Arc<Node>,
-    client: &CoordinationClient,
+    client: &PeerClient,
     store_reachable: Option<bool>,
 ) -> Option<ReportReply> {
     let regular = send_report(node, client, store_reachable, REPORT_WAIT);
@@ -229,29 +228,25 @@
     }
 }
 
-/// Sends a report; returns the reply, or `None` if it did not arrive in time.
+/// Sends a report; returns the reply, or `None` if it did not begin in time or stopped arriving.
 async fn send_report(
     node: &Node,
-    client: &CoordinationClient,
+    client: &PeerClient,
     store_reachable: Option<bool>,
     wait: Duration,
 ) -> Option<ReportReply> {
     let report = build_report(node, store_reachable, wait);
     let crashes = report.crashes.clone();
-    let mut context = context::current();
-    let limit = wait + ANSWER_ALLOWANCE;
-    context.deadline = std::time::Instant::now() + limit;
-    match tokio::time::timeout(limit, client.sync(context, report)).await {
-        Ok(Ok(reply)) => return Some(reply),
-        Ok(Err(err)) => log::debug!("a report failed: {err}"),
-        Err(_) => log::debug!("a report timed out"),
+    match client.sync(report, wait + ANSWER_ALLOWANCE).await {
+        Ok(reply) => return Some(reply),
+        Err(err) => log::debug!("a report failed: {err}"),
     }
     // The next report includes them again; a crash that is reported twice counts once.
     node.poison_requests.add_crashes(crashes);
     None
 }
 
-fn build_report(node: &Node, store_reachable: Option<bool>, wait: Duration) -> Report {
+pub fn build_report(node: &Node, store_reachable: Option<bool>, wait: Duration) -> Report {
     let (span_ms, loads) = loads::collect(node);
     Report {
         host: node.info.clone(),
@@ -279,7 +274,7 @@
         if host.name == node.info.name {
             continue;
         }
-        let Ok(client) = peers::connect(host.peer, CONNECT_TIMEOUT).await else {
+        let Ok(client) = PeerClient::connect(host.peer, CONNECT_TIMEOUT).await else {
             continue;
         };
         let Some(reply) = send_report(node, &client, None, Duration::ZERO).await else {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -12,7 +12,7 @@
 mod hosts;
 mod server;
 
-pub use client::connect;
+pub use client::PeerClient;
 pub use coordination::{
     CatalogAnswer, CatalogQuery, Coordination, CoordinationClient, Crash, KeyCount, Report,
     ReportReply, RouteCost, TargetLoad,
