--- a/crates/router/src/peers/client.rs
+++ b/crates/router/src/peers/client.rs
@@ -83,8 +83,8 @@
     ///
     /// Fails if there is no answer in time or the connection fails.
     pub async fn sync(&self, report: Report, limit: Duration) -> Result<ReportReply, PeerError> {
-        self.answer(self.calls.sync(long_context(), report), limit)
-            .await
+        let call = Box::pin(self.calls.sync(long_context(), report));
+        self.answer(call, limit).await
     }
 
     /// Asks the host for the configuration; the answer must begin within `limit`.
@@ -97,16 +97,15 @@
         query: CatalogQuery,
         limit: Duration,
     ) -> Result<CatalogAnswer, PeerError> {
-        self.answer(self.calls.catalog(long_context(), query), limit)
-            .await
+        let call = Box::pin(self.calls.catalog(long_context(), query));
+        self.answer(call, limit).await
     }
 
     async fn answer<T>(
         &self,
-        call: impl Future<Output = Result<T, RpcError>>,
+        mut call: impl Future<Output = Result<T, RpcError>> + Unpin,
         limit: Duration,
     ) -> Result<T, PeerError> {
-        tokio::pin!(call);
         let mut received = self.received.load(Ordering::Relaxed);
         let mut limit = limit;
         loop {
