Limit the memory for bodies of requests of callers and other hosts

What callers saw: a host that ran out of memory ended the requests of all its callers. Cause: the port for forwarded requests read a body without any limit or time-out, and each caller's body was limited by itself only, so that 100 of them could use 800 MB. Heads of requests could have 417 KB, and were parsed again with each part that arrived.

Bodies of requests that are being read or wait for their answer have 32 MB together, not counting the first 64 KB of each; beyond that the one that grows is refused as queue_full, not run. A forwarded request is checked before its body is read, and its body must arrive before the request must have been answered. Heads have at most 64 KB.

Chunks of one byte, extensions, trailers and pipelined requests were already bounded.

The check of the total in pool/src/answer/tests.rs creates its reservation from the shared counter; what it asserts is unchanged.

--- a/crates/pool/src/answer.rs
+++ b/crates/pool/src/answer.rs
@@ -1,8 +1,11 @@
-//! Reads bodies of answers into memory, within limits.
+//! Reads bodies into memory, within limits.
 
 use std::{
     pin::pin,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -34,18 +37,18 @@
 pub struct AnswerLimits {
     /// Longest body in bytes.
     each: usize,
-    /// What is left of the total of the bodies that are being read, in bytes.
-    left: AtomicUsize,
+    /// What is left of the total of the bodies that are being read or kept, in bytes.
+    left: Arc<AtomicUsize>,
 }
 
 impl AnswerLimits {
-    /// Creates limits for `each` body and for the `total` of those that are being read at the same
-    /// time, in bytes.
+    /// Creates limits for `each` body and for the `total` of those that are being read or kept at the
+    /// same time, in bytes.
     #[must_use]
     pub fn new(each: usize, total: usize) -> Self {
         Self {
             each,
-            left: AtomicUsize::new(total),
+            left: Arc::new(AtomicUsize::new(total)),
         }
     }
 
@@ -65,7 +68,28 @@
     where
         B: Body<Data = Bytes, Error = hyper::Error>,
     {
-        self.read_frames(body, None).await
+        let (bytes, _) = self.read_frames(body, self.each, None).await?;
+        Ok(bytes.freeze())
+    }
+
+    /// Reads a body of at most `each` bytes to its end. It counts towards the total until its bytes
+    /// are dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`AnswerLimits::read`] does.
+    pub async fn read_kept<B>(&self, body: B, each: usize) -> Result<Bytes, AnswerError>
+    where
+        B: Body<Data = Bytes, Error = hyper::Error>,
+    {
+        let (bytes, reserved) = self.read_frames(body, each.min(self.each), None).await?;
+        if reserved.bytes == 0 {
+            return Ok(bytes.freeze());
+        }
+        Ok(Bytes::from_owner(KeptBytes {
+            bytes,
+            _reserved: reserved,
+        }))
     }
 
     /// Reads a body to its end, as long as a part of it arrives in each `pause`. A long body can take
@@ -78,18 +102,24 @@
     where
         B: Body<Data = Bytes, Error = hyper::Error>,
     {
-        self.read_frames(body, Some(pause)).await
+        let (bytes, _) = self.read_frames(body, self.each, Some(pause)).await?;
+        Ok(bytes.freeze())
     }
 
-    async fn read_frames<B>(&self, body: B, pause: Option<Duration>) -> Result<Bytes, AnswerError>
+    async fn read_frames<B>(
+        &self,
+        body: B,
+        each: usize,
+        pause: Option<Duration>,
+    ) -> Result<(BytesMut, Reservation), AnswerError>
     where
         B: Body<Data = Bytes, Error = hyper::Error>,
     {
-        if body.size_hint().lower() > self.each as u64 {
-            return Err(AnswerError::TooLong(self.each));
+        if body.size_hint().lower() > each as u64 {
+            return Err(AnswerError::TooLong(each));
         }
-        let mut body = pin!(Limited::new(body, self.each));
-        let mut reserved = Reservation::new(self);
+        let mut body = pin!(Limited::new(body, each));
+        let mut reserved = Reservation::new(Arc::clone(&self.left));
         let mut bytes = BytesMut::new();
         loop {
             let frame = match pause {
@@ -100,7 +130,7 @@
                 },
             };
             let Some(frame) = frame else { break };
-            let frame = frame.map_err(|err| self.error_of(err))?;
+            let frame = frame.map_err(|err| error_of(err, each))?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
@@ -109,29 +139,41 @@
             }
             bytes.extend_from_slice(&data);
         }
-        Ok(bytes.freeze())
+        Ok((bytes, reserved))
     }
+}
 
-    fn error_of(&self, err: Box<dyn std::error::Error + Send + Sync>) -> AnswerError {
-        match err.downcast::<hyper::Error>() {
-            Ok(err) => AnswerError::Connection(*err),
-            Err(err) => {
-                debug_assert!(err.is::<LengthLimitError>());
-                AnswerError::TooLong(self.each)
-            }
+fn error_of(err: Box<dyn std::error::Error + Send + Sync>, each: usize) -> AnswerError {
+    match err.downcast::<hyper::Error>() {
+        Ok(err) => AnswerError::Connection(*err),
+        Err(err) => {
+            debug_assert!(err.is::<LengthLimitError>());
+            AnswerError::TooLong(each)
         }
     }
 }
 
-/// The part of the total that one body uses while it is being read.
-struct Reservation<'a> {
-    limits: &'a AnswerLimits,
+/// A body with its part of the total.
+struct KeptBytes {
+    bytes: BytesMut,
+    _reserved: Reservation,
+}
+
+impl AsRef<[u8]> for KeptBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// The part of the total that one body uses while it is being read or kept.
+struct Reservation {
+    left: Arc<AtomicUsize>,
     bytes: usize,
 }
 
-impl<'a> Reservation<'a> {
-    fn new(limits: &'a AnswerLimits) -> Self {
-        Self { limits, bytes: 0 }
+impl Reservation {
+    fn new(left: Arc<AtomicUsize>) -> Self {
+        Self { left, bytes: 0 }
     }
 
     /// Extends the reservation to a body of `length` bytes; returns whether the total allows it.
@@ -139,8 +181,9 @@
         let counted = length.saturating_sub(UNCOUNTED_BYTES);
         let more = counted - self.bytes;
         let taken = |left: usize| left.checked_sub(more);
-        let left = &self.limits.left;
-        let grown = left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, taken);
+        let grown = self
+            .left
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, taken);
         if grown.is_ok() {
             self.bytes = counted;
         }
@@ -148,9 +191,9 @@
     }
 }
 
-impl Drop for Reservation<'_> {
+impl Drop for Reservation {
     fn drop(&mut self) {
-        self.limits.left.fetch_add(self.bytes, Ordering::Relaxed);
+        self.left.fetch_add(self.bytes, Ordering::Relaxed);
     }
 }
 
--- a/crates/pool/src/answer/tests.rs
+++ b/crates/pool/src/answer/tests.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::VecDeque,
     pin::Pin,
+    sync::Arc,
     task::{Context, Poll},
 };
 
@@ -116,10 +117,28 @@
         let read = limits.read(Frames::new(&[long, 1])).await;
         assert!(matches!(read, Err(AnswerError::TooManyBytes)), "{read:?}");
     }
-    let mut held = super::Reservation::new(&limits);
+    let mut held = super::Reservation::new(Arc::clone(&limits.left));
     assert!(held.grow_to(long));
     let read = limits.read(Frames::new(&[UNCOUNTED_BYTES + 1])).await;
     assert!(matches!(read, Err(AnswerError::TooManyBytes)), "{read:?}");
     let read = limits.read(Frames::new(&[UNCOUNTED_BYTES])).await;
     assert_eq!(read.ok().map(|it| it.len()), Some(UNCOUNTED_BYTES));
 }
+
+/// Guards against bodies that wait in memory beyond the total, and against a total that stays used up
+/// after they are gone.
+#[tokio::test]
+async fn kept_bodies_count_until_they_are_dropped() {
+    let long = 2 * UNCOUNTED_BYTES;
+    let limits = AnswerLimits::new(4 * UNCOUNTED_BYTES, UNCOUNTED_BYTES);
+    let read = |length: usize| limits.read_kept(Frames::new(&[length]), long);
+    let kept = read(long).await.expect("the total is free");
+    assert_eq!(kept.len(), long);
+    let part = kept.slice(1..2);
+    drop(kept);
+    assert!(matches!(read(long).await, Err(AnswerError::TooManyBytes)));
+    assert_eq!(read(10).await.expect("it is short").len(), 10);
+    drop(part);
+    assert!(read(long).await.is_ok());
+    assert!(matches!(read(long + 1).await, Err(AnswerError::TooLong(it)) if it == long));
+}
--- a/crates/router/src/entry/connection.rs
+++ b/crates/router/src/entry/connection.rs
@@ -32,6 +32,9 @@
 /// Maximum number of pipelined requests of one connection that run early.
 const MAX_EARLY: usize = 16;
 
+/// Longest head of a request, and most bytes that are buffered unread.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// State shared by the connection and its requests.
 struct Shared {
     node: Arc<Node>,
@@ -76,6 +79,7 @@
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(timeout)
+        .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(ahead.clone()), service);
     let mut close = pin!(async move {
         // The sender outlives the connections.
@@ -126,7 +130,7 @@
         let (parts, body) = request.into_parts();
         let id = parts.headers.get(&self.node.profile.attempt).cloned();
         let routed = match RoutedRequest::new(&self.node, parts) {
-            Ok(routed) => routed.with_body(body).await,
+            Ok(routed) => routed.with_body(&self.node, body).await,
             Err(reason) => Err(reason),
         };
         match routed {
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use coordinator::{Key, Millis};
 use http::{HeaderMap, header, request::Parts, uri::PathAndQuery};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use pool::AnswerError;
 use refusal::Reason;
 use routing::{Ownership, Route};
 
@@ -109,23 +109,24 @@
     ///
     /// # Errors
     ///
-    /// Fails if the body is too long, or does not arrive before the deadline.
-    pub async fn with_body(mut self, body: Incoming) -> Result<Self, Reason> {
+    /// Fails if the body is too long, does not arrive before the deadline, or does not fit into the
+    /// memory for bodies.
+    pub async fn with_body(mut self, node: &Node, body: Incoming) -> Result<Self, Reason> {
         let timeout =
             Duration::from_millis(self.gateway_request.deadline.saturating_sub(self.arrived));
-        self.gateway_request.body = read_body(body, self.body_limit, timeout).await?;
+        let body = node.request_limits.read_kept(body, self.body_limit);
+        self.gateway_request.body = match tokio::time::timeout(timeout, body).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(AnswerError::TooLong(_))) => return Err(Reason::BodyTooLarge),
+            Ok(Err(AnswerError::TooManyBytes)) => return Err(Reason::QueueFull),
+            Ok(Err(AnswerError::Connection(_) | AnswerError::Stalled(_))) | Err(_) => {
+                return Err(Reason::BodyIncomplete);
+            }
+        };
         Ok(self)
     }
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, timeout: Duration) -> Result<Bytes, Reason> {
-    match tokio::time::timeout(timeout, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Reason::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(Reason::BodyIncomplete),
-    }
-}
-
 fn key_of(node: &Node, headers: &HeaderMap) -> Result<Key, Reason> {
     let value = headers.get(&node.profile.key).ok_or(Reason::KeyMissing)?;
     let key = value.to_str().ok().and_then(|it| it.trim().parse().ok());
--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -1,17 +1,18 @@
 //! The port for requests that other hosts forward.
 
-use std::{convert::Infallible, io, sync::Arc};
+use std::{convert::Infallible, io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Collected, Full};
+use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use pool::AnswerError;
 use refusal::Reason;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{AttemptOutcome, GatewayRequest, exchange, hop};
-use crate::{accept::accept, node::Node, observe::LineKind};
+use crate::{accept::accept, entry::MAX_BODY_BYTES, node::Node, observe::LineKind};
 
 /// Binds the port; resolves to the loop that serves it.
 ///
@@ -46,23 +47,50 @@
 
 async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
-    let body = body.collect().await.map(Collected::to_bytes).ok();
-    let request = body.map(|it| Request::from_parts(parts, it));
-    let gateway_request = request.and_then(|it| hop::gateway_request_of(it, node.clock.now()));
-    let outcome = match gateway_request {
+    let head = Request::from_parts(parts, Bytes::new());
+    let outcome = match hop::gateway_request_of(head, node.clock.now()) {
         // The entry host tries the next gateway.
         Some(it) if !can_answer(node, &it) => AttemptOutcome::not_sent(Reason::OwnerUnreachable),
-        Some(it) => exchange::run(node, &it).await,
+        Some(it) => match with_body(node, it, body).await {
+            Ok(it) => exchange::run(node, &it).await,
+            Err(reason) => AttemptOutcome::not_sent(reason),
+        },
         None => {
-            if let Some(left_out) = node.may_log(LineKind::Attempt) {
-                log::warn!(left_out; "a forwarded request is truncated or malformed");
-            }
+            log_unreadable(node);
             AttemptOutcome::not_sent(Reason::NotGateway)
         }
     };
     hop::response_of(outcome)
 }
 
+/// Reads the body of a forwarded request.
+async fn with_body(
+    node: &Node,
+    mut request: GatewayRequest,
+    body: Incoming,
+) -> Result<GatewayRequest, Reason> {
+    let left = Duration::from_millis(request.end.saturating_sub(node.clock.now()));
+    let body = node.request_limits.read_kept(body, MAX_BODY_BYTES);
+    match tokio::time::timeout(left, body).await {
+        Ok(Ok(body)) => {
+            request.body = body;
+            Ok(request)
+        }
+        Ok(Err(AnswerError::TooManyBytes)) => Err(Reason::QueueFull),
+        Ok(Err(_)) => {
+            log_unreadable(node);
+            Err(Reason::NotGateway)
+        }
+        Err(_) => Err(Reason::DeadlineBeforeStart),
+    }
+}
+
+fn log_unreadable(node: &Node) {
+    if let Some(left_out) = node.may_log(LineKind::Attempt) {
+        log::warn!(left_out; "a forwarded request is truncated, too long or malformed");
+    }
+}
+
 /// Whether this host can answer a forwarded request: it knows targets, and does not end before the
 /// request must have been answered. Without a coordinator, hosts forward to a host that has
 /// restarted as they did before.
--- a/crates/router/src/gateway/serve/tests.rs
+++ b/crates/router/src/gateway/serve/tests.rs
@@ -1,4 +1,5 @@
 use http::{HeaderMap, Method, uri::PathAndQuery};
+use http_body_util::BodyExt;
 use hyper::client::conn::http2;
 
 use super::*;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -37,6 +37,10 @@
 /// Most bytes of answers that are being read at the same time: a quarter of the 260 MB of a host.
 const MAX_ANSWERS_BYTES: usize = 64 << 20;
 
+/// Most bytes of bodies of requests that are being read or wait for their answer: an eighth of the
+/// 260 MB of a host.
+const MAX_REQUESTS_BYTES: usize = 32 << 20;
+
 /// What another host lacks.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum News {
@@ -92,6 +96,8 @@
     pub queues: AdmissionQueues,
     /// Limits of the bodies of answers of targets and other gateways.
     pub answer_limits: AnswerLimits,
+    /// Limits of the bodies of requests of callers and other hosts.
+    pub request_limits: AnswerLimits,
     /// Connections to other gateways.
     pub forwarder: Forwarder,
     /// Retry budgets.
@@ -152,6 +158,7 @@
             catalog: Catalogs::default(),
             queues: AdmissionQueues::new(clock),
             answer_limits: AnswerLimits::new(MAX_BODY_BYTES, MAX_ANSWERS_BYTES),
+            request_limits: AnswerLimits::new(MAX_BODY_BYTES, MAX_REQUESTS_BYTES),
             forwarder: Forwarder::new(),
             retry_budgets: RetryBudgets::new(
                 settings.bounds.retry_ratio,
