Limit the memory for control messages that are not finished

A message between hosts may have 16 MB, and each connection kept its own until the message was complete, however long that took and however many connections there were. 100 connections that never finished their message used 1,659 MB of a host (platform/tests/endless_requests.rs, debug build), and stayed open.

Unfinished messages have 32 MB together, not counting the first 64 KB of each, and a message must arrive within 3 s; otherwise its connection is closed. The test failed before.

--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -10,6 +10,7 @@
 mod coordination;
 mod feed;
 mod hosts;
+mod messages;
 mod server;
 
 pub use client::PeerClient;
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -13,7 +13,9 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{
-    CatalogAnswer, CatalogQuery, Coordination, Report, ReportReply, client::MAX_MESSAGE_BYTES,
+    CatalogAnswer, CatalogQuery, Coordination, Report, ReportReply,
+    client::MAX_MESSAGE_BYTES,
+    messages::{MessageBudget, MessageReader},
 };
 use crate::{
     accept::accept,
@@ -43,14 +45,18 @@
 /// Fails if the address cannot be bound.
 pub async fn bind(node: Arc<Node>) -> io::Result<impl Future<Output = ()>> {
     let listener = TcpListener::bind(node.settings.peer).await?;
+    let budget = MessageBudget::new();
     Ok(async move {
         loop {
-            serve(&node, accept(&listener, "a host").await);
+            serve(&node, accept(&listener, "a host").await, &budget);
         }
     })
 }
 
-fn serve(node: &Arc<Node>, stream: TcpStream) {
+fn serve(node: &Arc<Node>, stream: TcpStream, budget: &MessageBudget) {
+    let (reader, writer) = stream.into_split();
+    let reader = MessageReader::new(reader, budget.clone());
+    let stream = tokio::io::join(reader, writer);
     let framed = LengthDelimitedCodec::builder()
         .max_frame_length(MAX_MESSAGE_BYTES)
         .new_framed(stream);
