Send no late requests to targets that say they leave

Callers saw requests go to a target that had said in its answers that it leaves, and later than drain_s, as long as its entry in the store was ready: nothing read the header Server-Leaving.

The profile decodes the header, and the exchange with a target records the incarnation, unless the answer is not the target's own. A forwarded answer names the incarnation in a header between hosts, so that the entry host knows it too; reports and an event carry it to the coordinator and to all other hosts. Such a target is in the state Leaving: it is given no keys, its keys move as those of a draining one, and requests without a key go to others. Where there is no other target or the owner cannot change, it serves requests that arrived at their entry host before drain_s was over; later ones are refused as target_draining at once. Forwarded requests carry their age. It ends with the incarnation.

GatewayRequest has a new field, and so has the hop's header of times: hosts of the version before cannot forward to this one.

--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -256,6 +256,7 @@
         span_ms,
         loads,
         crashes: node.poison_requests.take_crashes(),
+        leaving: node.targets().leaving().cloned().collect(),
         store: store_reachable,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
     }
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -26,7 +26,7 @@
     watch::{SyncTimes, watch},
 };
 use crate::{
-    node::Node,
+    node::{LeavingSource, Node},
     observe::LineKind,
     peers::{Crash, Event, Position, Report},
     ports::Topic,
@@ -282,6 +282,9 @@
         let now = self.node.clock.now();
         self.registry.on_report(&report, now);
         self.has_successor |= self.node.needs_successor() && report.store == Some(true);
+        for incarnation in &report.leaving {
+            self.node.on_leaving(incarnation, LeavingSource::Host);
+        }
         self.quarantine_requests(report.crashes, now);
         self.record_loads(&report.loads, now);
     }
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -11,8 +11,8 @@
 
 use super::{request::RoutedRequest, server::Body};
 use crate::{
-    gateway::{self, AttemptOutcome, GatewayRequest, QueueId, WaitLimit},
-    node::Node,
+    gateway::{self, AttemptOutcome, GatewayRequest, LeavingTarget, QueueId, WaitLimit},
+    node::{LeavingSource, Node},
     observe::{Distance, RequestTrace},
     peers::HostInfo,
     state::TargetState,
@@ -122,6 +122,13 @@
             trace.step(None, &node.info.name, began, &outcome);
             return outcome;
         };
+        if let QueueId::Target(target) = &queue
+            && self.is_closed(target)
+        {
+            let outcome = AttemptOutcome::not_sent(Reason::TargetDraining);
+            trace.step(Some(queue), &node.info.name, began, &outcome);
+            return outcome;
+        }
         gateway_request.queue = queue;
         gateway_request.wait_limit = wait_limit;
         let other = gateway_of(node, &gateway_request.queue).filter(|it| it.name != node.info.name);
@@ -141,6 +148,9 @@
             .await;
         match &outcome {
             AttemptOutcome::Answered(answer) => {
+                if let Some(LeavingTarget(it)) = answer.extensions().get() {
+                    node.on_leaving(it, LeavingSource::Gateway);
+                }
                 let sent = u64::try_from(gateway_request.body.len()).unwrap_or(u64::MAX);
                 let received = answer.body().size_hint().lower();
                 let distance = distance(node, &host.place);
@@ -176,7 +186,10 @@
             return Err(self.refusal(reason));
         }
         match reason {
-            Reason::QueueFull | Reason::TargetShed | Reason::TargetFailing
+            Reason::QueueFull
+            | Reason::TargetShed
+            | Reason::TargetFailing
+            | Reason::TargetDraining
                 if gateway_request.wait_limit == WaitLimit::Objective =>
             {
                 self.excluded.push(gateway_request.queue.clone());
@@ -191,7 +204,6 @@
             Reason::NoOwner
             | Reason::NotGateway
             | Reason::Fenced
-            | Reason::TargetDraining
             | Reason::OwnerUnreachable
             | Reason::TargetUnreachable => {
                 if now >= self.request.arrived + MAX_OWNER_WAIT_MS {
@@ -244,17 +256,10 @@
             let target = Arc::clone(&slice.owner.target);
             return Some((QueueId::Target(target), WaitLimit::Deadline));
         }
-        let mut places: Vec<(Distance, Arc<str>)> = Vec::new();
-        for (_, entry) in node.targets().registered() {
-            if entry.service != gateway_request.service || entry.state != TargetState::Ready {
-                continue;
-            }
-            if places.iter().any(|it| it.1 == entry.place) {
-                continue;
-            }
-            places.push((distance(node, &entry.place), Arc::clone(&entry.place)));
+        let mut places = self.places(TargetState::Ready);
+        if places.is_empty() {
+            places = self.places(TargetState::Leaving);
         }
-        places.sort();
         let queues = places.into_iter().map(|(_, place)| QueueId::Pool {
             service: Arc::clone(&gateway_request.service),
             place,
@@ -266,6 +271,33 @@
             _ => Some((queues.first()?.clone(), WaitLimit::Deadline)),
         }
     }
+
+    /// Whether a target is about to stop, and takes no requests that arrived as late as this one.
+    fn is_closed(&self, target: &Arc<str>) -> bool {
+        let targets = self.node.targets();
+        let Some(entry) = targets.get(target) else {
+            return false;
+        };
+        let closed_from = targets.closed_from(&entry.incarnation(target), self.node.drain_ms());
+        closed_from.is_some_and(|it| self.request.arrived >= it)
+    }
+
+    /// The data centres where the service has a target in `state`, nearest first.
+    fn places(&self, state: TargetState) -> Vec<(Distance, Arc<str>)> {
+        let node = self.node;
+        let mut places: Vec<(Distance, Arc<str>)> = Vec::new();
+        for (_, entry) in node.targets().registered() {
+            if entry.service != self.request.gateway_request.service || entry.state != state {
+                continue;
+            }
+            if places.iter().any(|it| it.1 == entry.place) {
+                continue;
+            }
+            places.push((distance(node, &entry.place), Arc::clone(&entry.place)));
+        }
+        places.sort();
+        places
+    }
 }
 
 /// Classifies the distance from this host to a data centre.
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -88,6 +88,7 @@
             key,
             priority: route.priority,
             wait_limit: WaitLimit::Deadline,
+            arrived,
             objective: arrived + route.objective_ms,
             end: deadline.min(timeout),
             deadline,
--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -143,6 +143,7 @@
             key: header("key"),
             not_run: header("not-run"),
             seal: header("seal"),
+            leaving: |headers, _| headers.contains_key("leaving"),
             status: |_| StatusCode::SERVICE_UNAVAILABLE,
         },
     };
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -17,7 +17,7 @@
 
 pub use admission_queue::QueueLoad;
 pub use admission_queues::AdmissionQueues;
-pub use exchange::{AttemptOutcome, run};
+pub use exchange::{AttemptOutcome, LeavingTarget, run};
 pub use forward::Forwarder;
 pub use poison::PoisonRequests;
 pub use request::{GatewayRequest, QueueId, WaitLimit};
--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -129,6 +129,9 @@
             if inner.members.is_empty() {
                 return Err(Reason::NoOwner);
             }
+            if !inner.members.iter().any(|it| it.admits(request.arrived)) {
+                return Err(Reason::TargetDraining);
+            }
             if request.wait_limit == WaitLimit::Objective && !inner.meets_objective(now, request) {
                 return Err(Reason::QueueFull);
             }
@@ -268,10 +271,14 @@
         request: &GatewayRequest,
     ) -> Result<SlotGuard, Reason> {
         let now = self.clock.now();
-        let Some(member) = inner.pick_member(now) else {
+        let Some(member) = inner.pick_member(now, request.arrived) else {
             let decisions = inner.queue.finish(now, id, 0, RequestEnd::Cancelled);
             inner.notify(decisions);
-            return Err(Reason::NoOwner);
+            return Err(if inner.members.is_empty() {
+                Reason::NoOwner
+            } else {
+                Reason::TargetDraining
+            });
         };
         member.running += 1;
         member.last_used = now;
@@ -305,6 +312,7 @@
                 .and_then(|it| usize::try_from(it).ok())
                 .unwrap_or(DEFAULT_CONNECTIONS);
             let mut old = std::mem::take(&mut self.members);
+            let mut leaving = Vec::new();
             for (name, entry) in targets.registered() {
                 let belongs = match id {
                     QueueId::Target(target) => name == target,
@@ -312,7 +320,7 @@
                         entry.service == *service && entry.place == *place
                     }
                 };
-                if !belongs || entry.state != TargetState::Ready {
+                if !belongs || entry.state == TargetState::Draining {
                     continue;
                 }
                 let known = old.iter().position(|it| {
@@ -325,7 +333,16 @@
                     None => Member::new(Arc::clone(name), Arc::clone(entry), connections),
                 };
                 member.entry = Arc::clone(entry);
-                self.members.push(member);
+                let incarnation = entry.incarnation(name);
+                member.closed_from = targets.closed_from(&incarnation, node.drain_ms());
+                match entry.state {
+                    TargetState::Ready => self.members.push(member),
+                    TargetState::Leaving | TargetState::Draining => leaving.push(member),
+                }
+            }
+            // Leaving targets serve as long as there are no others.
+            if self.members.is_empty() {
+                self.members = leaving;
             }
         }
         drop(targets);
@@ -350,15 +367,17 @@
         now + self.queue.estimated_wait_ms(now) + service_ms <= request.objective
     }
 
-    /// The target for the next request: the least busy one, preferring those with a free slot.
-    fn pick_member(&mut self, now: Millis) -> Option<&mut Member> {
+    /// The target for a request that arrived at `arrived`: the least busy one, preferring those with
+    /// a free slot.
+    fn pick_member(&mut self, now: Millis, arrived: Millis) -> Option<&mut Member> {
         let busy = |it: &Member| {
             let slots = it.slots(now).max(1);
             let full = it.running >= slots;
             let unusable = it.slots(now) == 0;
             (unusable, full, it.running * 1_000 / slots, it.last_used)
         };
-        self.members.iter_mut().min_by_key(|it| busy(it))
+        let admitting = self.members.iter_mut().filter(|it| it.admits(arrived));
+        admitting.min_by_key(|it| busy(it))
     }
 
     fn notify(&mut self, decisions: Decisions) {
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 
 use admission::RequestEnd;
 use bytes::Bytes;
-use coordinator::{FencingToken, Key, Phase};
+use coordinator::{FencingToken, Incarnation, Key, Phase};
 use http::{HeaderValue, Request, Response, StatusCode, header, response::Parts};
 use http_body_util::Full;
 use pool::{ConnectError, Freshness};
@@ -17,7 +17,7 @@
 };
 use crate::{
     entry::end_to_end,
-    node::Node,
+    node::{LeavingSource, Node},
     observe::{self, Attempt},
 };
 
@@ -46,6 +46,10 @@
     Unknown(Reason),
 }
 
+/// Extension of the answer of a target that is about to stop.
+#[derive(Clone, Debug)]
+pub struct LeavingTarget(pub Incarnation);
+
 impl AttemptOutcome {
     /// The outcome of a request that was not sent to a target.
     pub fn not_sent(reason: Reason) -> Self {
@@ -221,13 +225,30 @@
         // and the connection is not reused.
         return AttemptOutcome::Unknown(Reason::TargetLost);
     }
-    let outcome = outcome_of_answer(node, parts, body);
+    let leaving = (node.profile.leaving)(&parts.headers, &slot.incarnation.target);
+    let mut outcome = outcome_of_answer(node, parts, body);
+    if leaving {
+        on_leaving(node, &slot.incarnation, &mut outcome);
+    }
     if may_reuse(&outcome) {
         slot.pool.put_back(sender);
     }
     outcome
 }
 
+/// Records that a target is about to stop, unless its answer cannot be trusted.
+fn on_leaving(node: &Node, incarnation: &Incarnation, outcome: &mut AttemptOutcome) {
+    match outcome {
+        AttemptOutcome::Answered(response) => {
+            let leaving = LeavingTarget(incarnation.clone());
+            response.extensions_mut().insert(leaving);
+        }
+        AttemptOutcome::NotRun { .. } => {}
+        AttemptOutcome::Unknown(_) => return,
+    }
+    node.on_leaving(incarnation, LeavingSource::Target);
+}
+
 /// Whether the connection of an exchange with this outcome may carry another request.
 ///
 /// A faulty target may write a refusal once more. The repeated one cannot be distinguished from the
--- a/crates/router/src/gateway/exchange/tests.rs
+++ b/crates/router/src/gateway/exchange/tests.rs
@@ -117,3 +117,43 @@
         assert_eq!(may_reuse(&outcome), reusable, "{outcome:?}");
     }
 }
+
+/// Guards against a target that counts as leaving because of an answer that is not its own.
+#[test]
+fn only_own_answers_show_that_a_target_leaves() {
+    struct Case {
+        name: &'static str,
+        outcome: AttemptOutcome,
+        leaving: bool,
+    }
+    let cases = [
+        Case {
+            name: "answered",
+            outcome: AttemptOutcome::Answered(Response::default()),
+            leaving: true,
+        },
+        Case {
+            name: "refused",
+            outcome: AttemptOutcome::NotRun {
+                reason: Reason::TargetShed,
+                offered: true,
+            },
+            leaving: true,
+        },
+        Case {
+            name: "without a seal",
+            outcome: AttemptOutcome::Unknown(Reason::TargetLost),
+            leaving: false,
+        },
+    ];
+    for mut case in cases {
+        let node = crate::fake::node("h1", 7_400);
+        let incarnation = Incarnation {
+            target: "a".into(),
+            started_ms: 1,
+        };
+        on_leaving(&node, &incarnation, &mut case.outcome);
+        let leaving = node.targets().is_leaving(&incarnation);
+        assert_eq!(leaving, case.leaving, "{}", case.name);
+    }
+}
--- a/crates/router/src/gateway/hop.rs
+++ b/crates/router/src/gateway/hop.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use coordinator::Millis;
+use coordinator::{Incarnation, Millis};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri, header};
 use http_body_util::Full;
 use refusal::Reason;
 
-use super::{AttemptOutcome, GatewayRequest, QueueId, WaitLimit};
+use super::{AttemptOutcome, GatewayRequest, QueueId, WaitLimit, exchange::LeavingTarget};
 
 const TARGET: HeaderName = HeaderName::from_static("hop-target");
 const PLACE: HeaderName = HeaderName::from_static("hop-place");
@@ -20,11 +20,13 @@
 const KEY: HeaderName = HeaderName::from_static("hop-key");
 const PRIORITY: HeaderName = HeaderName::from_static("hop-priority");
 const WAIT_LIMIT: HeaderName = HeaderName::from_static("hop-patience");
-/// Milliseconds left until the objective, end and deadline.
+/// Milliseconds left until the objective, end and deadline, and milliseconds since the arrival.
 const TIMES_LEFT: HeaderName = HeaderName::from_static("hop-times");
 const HOST: HeaderName = HeaderName::from_static("hop-host");
 const REFUSED: HeaderName = HeaderName::from_static("hop-refused");
 const RAN: HeaderName = HeaderName::from_static("hop-ran");
+/// Start time and name of the target that answered, if it is about to stop.
+const LEAVING: HeaderName = HeaderName::from_static("hop-leaving");
 
 /// Encodes a request as an HTTP request to the gateway with the authority `to`.
 pub(super) fn request_of(
@@ -68,9 +70,10 @@
         left(gateway_request.end),
         left(gateway_request.deadline),
     ];
+    let age = now.saturating_sub(gateway_request.arrived);
     put(
         TIMES_LEFT,
-        &format!("{} {} {}", times[0], times[1], times[2]),
+        &format!("{} {} {} {age}", times[0], times[1], times[2]),
     );
     let mut request = Request::new(Full::new(gateway_request.body.clone()));
     *request.method_mut() = gateway_request.method.clone();
@@ -105,11 +108,10 @@
         None => WaitLimit::Deadline,
     };
     let times = text(take(TIMES_LEFT))?;
-    let mut times = times
-        .split(' ')
-        .map(|it| it.parse().ok().map(|it: u64| now + it));
+    let mut times = times.split(' ').map(|it| it.parse::<Millis>().ok());
     let mut time = || times.next().flatten();
-    let (objective, end, deadline) = (time()?, time()?, time()?);
+    let (objective, end, deadline) = (now + time()?, now + time()?, now + time()?);
+    let arrived = now.saturating_sub(time()?);
     if let Some(host) = take(HOST) {
         headers.insert(header::HOST, host);
     }
@@ -121,6 +123,7 @@
         key,
         priority,
         wait_limit,
+        arrived,
         objective,
         end,
         deadline,
@@ -134,7 +137,21 @@
 /// Encodes an outcome as an answer.
 pub(super) fn response_of(outcome: AttemptOutcome) -> Response<Full<Bytes>> {
     let (reason, ran) = match outcome {
-        AttemptOutcome::Answered(response) => return response,
+        AttemptOutcome::Answered(mut response) => {
+            let leaving = response.extensions_mut().remove::<LeavingTarget>();
+            let headers = response.headers_mut();
+            headers.remove(LEAVING);
+            if let Some(LeavingTarget(it)) = leaving {
+                let text = format!("{} {}", it.started_ms, it.target);
+                match HeaderValue::from_str(&text) {
+                    Ok(value) => {
+                        headers.insert(LEAVING, value);
+                    }
+                    Err(err) => log::error!("{LEAVING} cannot be sent: {err}"),
+                }
+            }
+            return response;
+        }
         AttemptOutcome::NotRun { reason, offered } => {
             (reason, if offered { "offered" } else { "no" })
         }
@@ -149,8 +166,12 @@
 
 /// Decodes the outcome of an answer.
 pub(super) fn outcome_of(response: Response<Bytes>) -> AttemptOutcome {
-    let (parts, body) = response.into_parts();
+    let (mut parts, body) = response.into_parts();
     let Some(reason) = refused(&parts.headers) else {
+        let leaving = parts.headers.remove(LEAVING);
+        if let Some(it) = leaving.as_ref().and_then(incarnation_of) {
+            parts.extensions.insert(LeavingTarget(it));
+        }
         return AttemptOutcome::Answered(Response::from_parts(parts, Full::new(body)));
     };
     match parts.headers.get(RAN).map(HeaderValue::as_bytes) {
@@ -166,7 +187,18 @@
     }
 }
 
+fn incarnation_of(value: &HeaderValue) -> Option<Incarnation> {
+    let (started_ms, target) = value.to_str().ok()?.split_once(' ')?;
+    Some(Incarnation {
+        target: target.into(),
+        started_ms: started_ms.parse().ok()?,
+    })
+}
+
 fn refused(headers: &HeaderMap) -> Option<Reason> {
     let label = headers.get(REFUSED)?.to_str().ok()?;
     Some(Reason::from_label(label).unwrap_or(Reason::GatewayLost))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/gateway/member.rs
+++ b/crates/router/src/gateway/member.rs
@@ -20,6 +20,8 @@
     pub(super) health: Health,
     /// Exponential moving average of service times in milliseconds; `None` before the first answer.
     pub(super) mean_ms: Option<f64>,
+    /// Requests that arrived at this time or later are not sent to it, because it is about to stop.
+    pub(super) closed_from: Option<Millis>,
     /// When it was last sent a request.
     pub(super) last_used: Millis,
 }
@@ -33,10 +35,16 @@
             running: 0,
             health: Health::new(),
             mean_ms: None,
+            closed_from: None,
             last_used: 0,
         }
     }
 
+    /// Whether a request that arrived at `arrived` may be sent to it.
+    pub(super) fn admits(&self, arrived: Millis) -> bool {
+        self.closed_from.is_none_or(|it| arrived < it)
+    }
+
     /// Requests that it may run at once.
     pub(super) fn slots(&self, now: Millis) -> usize {
         let slots = usize::try_from(self.entry.slots).unwrap_or(1).max(1);
--- a/crates/router/src/gateway/request.rs
+++ b/crates/router/src/gateway/request.rs
@@ -53,6 +53,8 @@
     pub priority: u8,
     /// How long it may wait in the queue.
     pub wait_limit: WaitLimit,
+    /// When it arrived at its entry host.
+    pub arrived: Millis,
     /// When its latency objective ends.
     pub objective: Millis,
     /// When it must have been answered: the earlier of its deadline and the timeout of its route.
--- a/crates/router/src/gateway/serve/tests.rs
+++ b/crates/router/src/gateway/serve/tests.rs
@@ -106,6 +106,7 @@
             key: None,
             priority: 0,
             wait_limit: WaitLimit::Deadline,
+            arrived: now,
             objective: end,
             end,
             deadline: end,
--- a/crates/router/src/grace_period/tests.rs
+++ b/crates/router/src/grace_period/tests.rs
@@ -12,6 +12,7 @@
         key: None,
         priority: 0,
         wait_limit: WaitLimit::Deadline,
+        arrived: 0,
         objective,
         end,
         deadline: end,
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -13,7 +13,7 @@
 };
 
 use arc_swap::ArcSwap;
-use coordinator::{Millis, SliceTable};
+use coordinator::{Incarnation, Millis, SliceTable};
 use pool::AnswerLimits;
 use process::BootClock;
 use routing::{Catalog, Picker};
@@ -57,6 +57,27 @@
     Store,
 }
 
+/// How a host learns that a target is about to stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeavingSource {
+    /// From an answer of the target.
+    Target,
+    /// From an answer of the target to its gateway.
+    Gateway,
+    /// From a report or an event of another host.
+    Host,
+}
+
+impl LeavingSource {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Target => "target",
+            Self::Gateway => "gateway",
+            Self::Host => "host",
+        }
+    }
+}
+
 impl CatalogSource {
     fn label(self) -> &'static str {
         match self {
@@ -269,6 +290,32 @@
         }
     }
 
+    /// Records that a target has said in an answer that it is about to stop, and tells other hosts:
+    /// the coordinator by an event, any other host in its next report, which is sent at once.
+    pub fn on_leaving(&self, incarnation: &Incarnation, from: LeavingSource) {
+        let known = self.targets().is_leaving(incarnation);
+        if known || !self.learn_leaving(incarnation, from) {
+            return;
+        }
+        if self.is_coordinator() {
+            self.feed().push(Event::Leaving(incarnation.clone()));
+            self.feed_changed.notify_waiters();
+        } else {
+            self.report_soon.notify_one();
+        }
+        self.state_changed.notify_waiters();
+    }
+
+    /// Time in milliseconds for which a leaving target is sent requests.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the settings bound the time to 3600 s"
+    )]
+    pub fn drain_ms(&self) -> Millis {
+        (self.settings.bounds.drain * 1_000.0) as Millis
+    }
+
     /// What a host lacks that knows all events up to `known`, and has heard of the version `catalog`
     /// of the configuration.
     pub fn news_after(&self, known: Position, catalog: Option<u64>) -> News {
@@ -418,6 +465,8 @@
         for (name, rev, entry) in self.targets().revisions() {
             events.push(Event::Target(name, rev, entry));
         }
+        let leaving: Vec<_> = self.targets().leaving().cloned().collect();
+        events.extend(leaving.into_iter().map(Event::Leaving));
         for (service, table) in &*self.tables() {
             for slice in table.iter() {
                 events.push(Event::Slice(Arc::clone(service), slice.clone()));
@@ -445,6 +494,7 @@
                 }
                 changed
             }
+            Event::Leaving(incarnation) => self.learn_leaving(incarnation, LeavingSource::Host),
             Event::Slice(service, slice) => {
                 let mut tables = self.tables.write().expect("lock is not poisoned");
                 let table = tables.entry(Arc::clone(service)).or_default();
@@ -459,6 +509,25 @@
         }
     }
 
+    /// Records that a target is about to stop; returns whether this is new.
+    fn learn_leaving(&self, incarnation: &Incarnation, from: LeavingSource) -> bool {
+        let now = self.clock.now();
+        if !self.targets_mut().on_leaving(incarnation, now) {
+            return false;
+        }
+        self.metrics.leaving(from.label());
+        if let Some(left_out) = self.may_log(LineKind::StateChange) {
+            log::info!(
+                target_name = &*incarnation.target,
+                born = incarnation.started_ms,
+                from = from.label(),
+                left_out;
+                "a target is about to stop"
+            );
+        }
+        true
+    }
+
     /// Replaces the hosts that serve; returns whether they changed.
     fn set_hosts(&self, hosts: Hosts) -> bool {
         let known = self.hosts.load();
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -174,3 +174,21 @@
     assert_eq!(follower.catalog.announced(), Some(4));
     assert_eq!(follower.catalog.version(), None);
 }
+
+/// Guards against hosts that do not hear that a target leaves, because they have heard of nothing
+/// before, or only of what has changed since.
+#[test]
+fn departures_reach_all_hosts() {
+    let (coordinator, follower) = pair();
+    let late = node("h3", 7_200);
+    let incarnation = Incarnation {
+        target: "a".into(),
+        started_ms: 1,
+    };
+    coordinator.on_leaving(&incarnation, LeavingSource::Host);
+    for host in [&follower, &late] {
+        sync(&coordinator, host);
+        let state = host.targets().get("a").map(|it| it.state);
+        assert_eq!(state, Some(TargetState::Leaving), "{}", host.info.name);
+    }
+}
--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -2,7 +2,7 @@
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Histogram},
+    metrics::{Counter, Gauge, Histogram},
 };
 use process::Exporter;
 use refusal::Reason;
@@ -48,6 +48,8 @@
     store_calls: Counter<u64>,
     orders: Counter<u64>,
     former_holds: Counter<u64>,
+    departures: Counter<u64>,
+    leaving_targets: Gauge<u64>,
     hop_bytes: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     request_ms: Histogram<f64>,
@@ -73,6 +75,8 @@
             store_calls: counter("store_calls"),
             orders: counter("orders"),
             former_holds: counter("former_holds"),
+            departures: counter("departures_learned"),
+            leaving_targets: meter.u64_gauge("leaving_targets").build(),
             hop_bytes: counter("hop_body_bytes"),
             log_lines_left_out: counter("log_lines_left_out"),
             request_ms: histogram("request_ms"),
@@ -143,6 +147,17 @@
         self.former_holds.add(1, &labels);
     }
 
+    /// Counts an incarnation of which this host has learned that it is about to stop.
+    pub fn leaving(&self, from: &'static str) {
+        self.departures.add(1, &[KeyValue::new("from", from)]);
+    }
+
+    /// Records the number of targets that leave although their entry says that they are ready.
+    pub fn leaving_targets(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.leaving_targets.record(count, &[]);
+    }
+
     /// Counts the body bytes of a forwarded request and of its answer.
     pub fn hop(&self, distance: Distance, sent: u64, received: u64) {
         for (direction, bytes) in [("sent", sent), ("received", received)] {
--- a/crates/router/src/peers/coordination.rs
+++ b/crates/router/src/peers/coordination.rs
@@ -72,6 +72,8 @@
     pub loads: Vec<TargetLoad>,
     /// Crashes that it observed.
     pub crashes: Vec<Crash>,
+    /// Incarnations of targets that, as it knows, are about to stop.
+    pub leaving: Vec<Incarnation>,
     /// Whether the host can reach the store; `None` if it has not tried since its last report.
     pub store: Option<bool>,
     /// Longest time in milliseconds for which the reply may wait for updates.
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use coordinator::Slice;
+use coordinator::{Incarnation, Slice};
 use serde::{Deserialize, Serialize};
 
 use super::HostInfo;
@@ -16,6 +16,8 @@
 pub enum Event {
     /// A target as of a revision of the store; `None` if it is gone.
     Target(Arc<str>, Revision, Option<TargetEntry>),
+    /// An incarnation that has said in an answer that it is about to stop.
+    Leaving(Incarnation),
     /// A slice of a service.
     Slice(Arc<str>, Slice),
     /// All hosts that serve.
--- a/crates/router/src/ports/protocol_profile.rs
+++ b/crates/router/src/ports/protocol_profile.rs
@@ -1,11 +1,15 @@
 //! Header names and refusal statuses of the protocol.
 
-use http::{HeaderName, StatusCode};
+use http::{HeaderMap, HeaderName, StatusCode};
 use refusal::Refusal;
 
 /// Maps a refusal to its HTTP status.
 pub type RefusalStatus = fn(&Refusal) -> StatusCode;
 
+/// Returns whether the headers of an answer say that the named target, which it was expected from,
+/// is about to stop.
+pub type LeavingSign = fn(&HeaderMap, &str) -> bool;
+
 /// The header names and refusal statuses of the protocol that callers and targets speak.
 #[derive(Clone, Debug)]
 pub struct ProtocolProfile {
@@ -21,6 +25,8 @@
     pub not_run: HeaderName,
     /// Present on every answer that the target itself generated.
     pub seal: HeaderName,
+    /// Reads from an answer whether its target is about to stop.
+    pub leaving: LeavingSign,
     /// Maps a refusal to its HTTP status.
     pub status: RefusalStatus,
 }
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -1,6 +1,7 @@
 //! The configuration and the targets that this host knows.
 
 mod catalogs;
+mod departures;
 mod target;
 mod targets;
 
--- a/crates/router/src/state/target.rs
+++ b/crates/router/src/state/target.rs
@@ -10,6 +10,9 @@
 pub enum TargetState {
     /// It accepts new requests.
     Ready,
+    /// Its entry says that it is ready, but it has said in an answer that it is about to stop. It
+    /// serves for a time of its own, but is given no keys.
+    Leaving,
     /// It is about to stop and accepts no new requests.
     Draining,
 }
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -5,15 +5,18 @@
     sync::Arc,
 };
 
-use coordinator::Millis;
+use coordinator::{Incarnation, Millis};
 
-use super::{TargetEntry, TargetState};
+use super::{TargetEntry, TargetState, departures::Departures};
 use crate::ports::Revision;
 
 /// Time after the return of the store from a copy within which the running targets have registered
 /// again.
 const REGISTER_AGAIN_MS: u64 = 2_000;
 
+/// Time after which a leaving incarnation that is no longer registered is forgotten.
+const DEPARTURE_KEEP_MS: u64 = 600_000;
+
 /// The registered targets. An update replaces an older one; a removal leaves a tombstone with its
 /// revision, so that an older entry is not restored.
 ///
@@ -24,6 +27,7 @@
 pub struct Targets {
     known: BTreeMap<Arc<str>, KnownTarget>,
     tombstones: HashMap<Arc<str>, Revision>,
+    departures: Departures,
     version: u64,
     generations: Option<Generations>,
 }
@@ -59,7 +63,7 @@
         if seen.max(self.tombstones.get(name).copied()) >= Some(rev) {
             return false;
         }
-        let Some(entry) = entry else {
+        let Some(mut entry) = entry else {
             self.tombstones.insert(Arc::clone(name), rev);
             let Some(known) = self.known.get_mut(name) else {
                 return false;
@@ -77,6 +81,9 @@
             return false;
         }
         self.tombstones.remove(name);
+        if entry.state == TargetState::Ready && self.departures.contains(&entry.incarnation(name)) {
+            entry.state = TargetState::Leaving;
+        }
         let entry = Arc::new(entry);
         let gone_since = None;
         let known = KnownTarget {
@@ -89,6 +96,53 @@
         true
     }
 
+    /// Records that an incarnation has said in an answer that it is about to stop; returns whether
+    /// this is new.
+    pub fn on_leaving(&mut self, incarnation: &Incarnation, now: Millis) -> bool {
+        if !self.departures.learn(incarnation, now) {
+            return false;
+        }
+        if let Some(known) = self.known.get_mut(&incarnation.target)
+            && known.entry.started_ms == incarnation.started_ms
+            && known.entry.state == TargetState::Ready
+        {
+            Arc::make_mut(&mut known.entry).state = TargetState::Leaving;
+        }
+        let known = &self.known;
+        self.departures
+            .forget(now.saturating_sub(DEPARTURE_KEEP_MS), |it| {
+                let known = known.get(&it.target);
+                known.is_some_and(|known| known.entry.started_ms == it.started_ms)
+            });
+        self.version += 1;
+        true
+    }
+
+    /// Whether an incarnation has said in an answer that it is about to stop.
+    #[must_use]
+    pub fn is_leaving(&self, incarnation: &Incarnation) -> bool {
+        self.departures.contains(incarnation)
+    }
+
+    /// The incarnations that have said in an answer that they are about to stop.
+    pub fn leaving(&self) -> impl Iterator<Item = &Incarnation> {
+        self.departures.iter()
+    }
+
+    /// Returns the time from which on a leaving incarnation is sent no requests that arrive; `None`
+    /// if it does not leave.
+    #[must_use]
+    pub fn closed_from(&self, incarnation: &Incarnation, drain_ms: Millis) -> Option<Millis> {
+        self.departures.closed_from(incarnation, drain_ms)
+    }
+
+    /// Number of registered targets that are leaving although their entry says that they are ready.
+    #[must_use]
+    pub fn leaving_count(&self) -> usize {
+        let leaving = |it: &(_, &Arc<TargetEntry>)| it.1.state == TargetState::Leaving;
+        self.registered().filter(leaving).count()
+    }
+
     /// Records that the store had `generation` at `now`, or that another host has seen it.
     pub fn on_generation(&mut self, generation: u64, now: Millis) {
         let seen = self.generations.get_or_insert(Generations {
@@ -176,7 +230,13 @@
     pub fn revisions(&self) -> Vec<(Arc<str>, Revision, Option<TargetEntry>)> {
         let mut all = Vec::new();
         for (name, known) in &self.known {
-            let entry = known.gone_since.is_none().then(|| (*known.entry).clone());
+            let mut entry = known.gone_since.is_none().then(|| (*known.entry).clone());
+            // Other hosts are told of departures separately.
+            if let Some(entry) = &mut entry
+                && entry.state == TargetState::Leaving
+            {
+                entry.state = TargetState::Ready;
+            }
             all.push((Arc::clone(name), known.rev, entry));
         }
         for (name, rev) in &self.tombstones {
--- a/crates/router/src/state/targets/tests.rs
+++ b/crates/router/src/state/targets/tests.rs
@@ -117,3 +117,45 @@
     assert_eq!(targets.complete_at(), 2_500);
     assert!(targets.remembers_before(4));
 }
+
+/// Guards against a leaving target that is used again because it has written its entry again, and
+/// against one that is not used after it has started again.
+#[test]
+fn a_departure_ends_with_the_incarnation() {
+    use TargetState::{Draining, Leaving, Ready};
+    struct Case {
+        name: &'static str,
+        entry: TargetEntry,
+        state: TargetState,
+    }
+    let cases = [
+        Case {
+            name: "ready again",
+            entry: entry(1_000, 9, Ready),
+            state: Leaving,
+        },
+        Case {
+            name: "draining",
+            entry: entry(1_000, 9, Draining),
+            state: Draining,
+        },
+        Case {
+            name: "started again",
+            entry: entry(2_000, 1, Ready),
+            state: Ready,
+        },
+    ];
+    let name: Arc<str> = NAME.into();
+    for case in cases {
+        let mut targets = Targets::default();
+        let first = entry(1_000, 3, Ready);
+        targets.apply(&name, rev(1, 1), Some(first.clone()), 0);
+        let version = targets.version();
+        assert!(targets.on_leaving(&first.incarnation(&name), 100));
+        assert!(targets.version() > version);
+        assert_eq!(targets.get(NAME).map(|it| it.state), Some(Leaving));
+        targets.apply(&name, rev(1, 2), Some(case.entry), 200);
+        let state = targets.get(NAME).map(|it| it.state);
+        assert_eq!(state, Some(case.state), "{}", case.name);
+    }
+}
