Learn from answers to orders that a target leaves

A target that receives nothing but grants and releases was not known to leave, although all its answers say so. The result of an order now carries a flag beside the outcome, and the coordinator records it like one from an answer to a request.

--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -387,10 +387,19 @@
 
 async fn send(node: &Node, address: SocketAddr, order: &Order) -> OrderResult {
     let sent = node.clock.now();
-    let result = match order.kind {
-        OrderKind::Grant { .. } => OrderResult::Grant(node.target_api.grant(address, order).await),
-        OrderKind::Release => OrderResult::Release(node.target_api.release(address, order).await),
+    let (result, leaving) = match order.kind {
+        OrderKind::Grant { .. } => {
+            let answer = node.target_api.grant(address, order).await;
+            (OrderResult::Grant(answer.outcome), answer.leaving)
+        }
+        OrderKind::Release => {
+            let answer = node.target_api.release(address, order).await;
+            (OrderResult::Release(answer.outcome), answer.leaving)
+        }
     };
+    if leaving {
+        node.on_leaving(&order.incarnation, LeavingSource::Target);
+    }
     let (kind, outcome) = result.labels();
     node.metrics.order(kind, outcome);
     if !result.is_done()
--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -16,8 +16,8 @@
 use crate::{
     node::Node,
     ports::{
-        CommitResult, OwnRows, ProtocolProfile, Read, Revision, Store, StoreError, TargetApi,
-        Topic, Transaction,
+        CommitResult, OrderAnswer, OwnRows, ProtocolProfile, Read, Revision, Store, StoreError,
+        TargetApi, Topic, Transaction,
     },
     run::Ports,
     settings::Settings,
@@ -105,12 +105,20 @@
 }
 
 impl TargetApi for EmptyPlatform {
-    fn grant<'a>(&'a self, _: SocketAddr, _: &'a Order) -> BoxFuture<'a, GrantOutcome> {
-        Box::pin(ready(GrantOutcome::NoAnswer))
+    fn grant<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a Order,
+    ) -> BoxFuture<'a, OrderAnswer<GrantOutcome>> {
+        Box::pin(ready(OrderAnswer::new(GrantOutcome::NoAnswer)))
     }
 
-    fn release<'a>(&'a self, _: SocketAddr, _: &'a Order) -> BoxFuture<'a, ReleaseOutcome> {
-        Box::pin(ready(ReleaseOutcome::NoAnswer))
+    fn release<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a Order,
+    ) -> BoxFuture<'a, OrderAnswer<ReleaseOutcome>> {
+        Box::pin(ready(OrderAnswer::new(ReleaseOutcome::NoAnswer)))
     }
 }
 
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -13,4 +13,4 @@
 pub use store::{
     CommitResult, OwnRow, OwnRows, Read, Record, Store, StoreError, Topic, Transaction, Update,
 };
-pub use target_api::{GRANT_TIMEOUT, TargetApi};
+pub use target_api::{GRANT_TIMEOUT, OrderAnswer, TargetApi};
