--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -18,8 +18,8 @@
 use crate::{
     node::Node,
     ports::{
-        CommitResult, OwnRows, ProtocolProfile, Read, Revision, Store, StoreError, TargetApi,
-        Topic, Transaction,
+        CommitResult, OrderAnswer, OwnRows, ProtocolProfile, Read, Revision, Store, StoreError,
+        TargetApi, Topic, Transaction,
     },
     run::Ports,
     settings::Settings,
@@ -107,12 +107,20 @@
 }
 
 impl TargetApi for EmptyPlatform {
-    fn grant<'a>(&'a self, _: SocketAddr, _: &'a Order) -> BoxFuture<'a, GrantOutcome> {
-        Box::pin(ready(GrantOutcome::NoAnswer))
+    fn grant<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a Order,
+    ) -> BoxFuture<'a, OrderAnswer<GrantOutcome>> {
+        Box::pin(ready(OrderAnswer::new(GrantOutcome::NoAnswer)))
     }
 
-    fn release<'a>(&'a self, _: SocketAddr, _: &'a Order) -> BoxFuture<'a, ReleaseOutcome> {
-        Box::pin(ready(ReleaseOutcome::NoAnswer))
+    fn release<'a>(
+        &'a self,
+        _: SocketAddr,
+        _: &'a Order,
+    ) -> BoxFuture<'a, OrderAnswer<ReleaseOutcome>> {
+        Box::pin(ready(OrderAnswer::new(ReleaseOutcome::NoAnswer)))
     }
 }
 
@@ -145,6 +153,7 @@
             key: header("key"),
             not_run: header("not-run"),
             seal: header("seal"),
+            leaving: |headers, _| headers.contains_key("leaving"),
             status: |_| StatusCode::SERVICE_UNAVAILABLE,
         },
     };
