Let a queue pause while its target wants no requests

Change: `Queue::set_pause` starts nothing before a time. Requests that can be served after it keep their places, the oldest first; others are refused at once with the new reason `target_paused`. Nothing else uses it yet.

Tests: `queue::pause::tests`, among them a random sequence of calls in which nothing starts in a pause. The function is new, so they have no result before this change.

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -1,6 +1,7 @@
 //! The bounded, fair queue in front of one target.
 
 mod concurrency;
+mod pause;
 mod service_time;
 mod shares;
 mod ticket;
@@ -62,6 +63,8 @@
     /// Decisions that the next method with [`Decisions`] as its result returns.
     pending: Decisions,
     overloaded_until: Millis,
+    /// End of the pause that the target asked for; 0 if there is none.
+    pause_end: Millis,
     /// Sequence number of the next offer.
     next_sequence: u64,
 }
@@ -81,6 +84,7 @@
             concurrency: Concurrency::new(limits.slots),
             pending: Decisions::new(),
             overloaded_until: 0,
+            pause_end: 0,
             next_sequence: 0,
         }
     }
@@ -163,7 +167,7 @@
             .iter()
             .map(|it| self.last_start(it) + 1)
             .min()?;
-        let paused_until = self.concurrency.paused_until();
+        let paused_until = self.paused_until();
         if now < paused_until && self.running.len() < self.concurrency.limit() {
             return Some(too_late_at.min(paused_until));
         }
@@ -228,12 +232,13 @@
             }
             Ok(Admission::Wait) => {
                 self.waiting.push(new);
+                self.refuse_hopeless(now);
                 OfferResult::Wait
             }
             Err(reason) => {
-                self.overloaded_until = now + OVERLOAD_MS;
+                self.on_overload(now);
                 self.remove_from_shares(ticket.caller, ticket.key);
-                OfferResult::Refuse(reason)
+                OfferResult::Refuse(self.reason_in_pause(now, reason))
             }
         }
     }
@@ -251,7 +256,8 @@
         } else {
             self.estimated_wait_behind_ms(now, self.waiting.count_ahead(new, order))
         };
-        if now + wait_ms > self.last_start(new) && !self.running.is_empty() {
+        let is_watched = self.is_paused(now) || !self.running.is_empty();
+        if now + wait_ms > self.last_start(new) && is_watched {
             return Err(Reason::DeadlineBeforeStart);
         }
         if can_start {
@@ -263,14 +269,14 @@
             if victim == new.ticket.id {
                 return Err(Reason::CallerShare);
             }
-            self.overloaded_until = now + OVERLOAD_MS;
-            self.evict(victim, Reason::CallerShare);
+            self.on_overload(now);
+            self.evict(victim, self.reason_in_pause(now, Reason::CallerShare));
         }
         if self.waiting.len() >= self.limits.depth {
             match self.victim(Some(new), order) {
                 Some(victim) if victim != new.ticket.id => {
-                    self.overloaded_until = now + OVERLOAD_MS;
-                    self.evict(victim, Reason::QueueFull);
+                    self.on_overload(now);
+                    self.evict(victim, self.reason_in_pause(now, Reason::QueueFull));
                 }
                 _ => return Err(Reason::QueueFull),
             }
@@ -322,10 +328,10 @@
     }
 
     fn refuse_late(&mut self, now: Millis, waiter: &Waiter, decisions: &mut Decisions) {
-        self.overloaded_until = now + OVERLOAD_MS;
+        self.on_overload(now);
         self.remove_from_shares(waiter.ticket.caller, waiter.ticket.key);
-        let refusal = Decision::Refuse(waiter.ticket.id, Reason::DeadlineBeforeStart);
-        decisions.push(refusal);
+        let reason = self.reason_in_pause(now, Reason::DeadlineBeforeStart);
+        decisions.push(Decision::Refuse(waiter.ticket.id, reason));
     }
 
     fn start(&mut self, now: Millis, waiter: &Waiter) {
@@ -364,7 +370,7 @@
 
     fn may_start(&self, now: Millis, mode: RunMode) -> bool {
         let running = self.running.len();
-        if now < self.concurrency.paused_until() || running >= self.concurrency.limit() {
+        if now < self.paused_until() || running >= self.concurrency.limit() {
             return false;
         }
         match mode {
@@ -381,7 +387,7 @@
 
     /// Estimated wait in milliseconds behind `ahead` other requests.
     fn estimated_wait_behind_ms(&self, now: Millis, ahead: usize) -> u64 {
-        let pause_ms = self.concurrency.paused_until().saturating_sub(now);
+        let pause_ms = self.paused_until().saturating_sub(now);
         let limit = self.concurrency.limit();
         if self.waiting.len() == 0 && self.running.len() < limit {
             return pause_ms;
@@ -393,7 +399,9 @@
     fn arrival_order(&self, now: Millis) -> ArrivalOrder {
         match self.order {
             QueueOrder::Newest => ArrivalOrder::NewestFirst,
-            QueueOrder::Adaptive if now < self.overloaded_until => ArrivalOrder::NewestFirst,
+            QueueOrder::Adaptive if now < self.overloaded_until && !self.is_paused(now) => {
+                ArrivalOrder::NewestFirst
+            }
             QueueOrder::Oldest | QueueOrder::Adaptive => ArrivalOrder::OldestFirst,
         }
     }
--- a/crates/refusal/src/reason.rs
+++ b/crates/refusal/src/reason.rs
@@ -41,6 +41,8 @@
     CallerShare,
     /// the target sheds load
     TargetShed,
+    /// the target asked for a pause in which it wants no requests
+    TargetPaused,
     /// the target is failing requests and takes no new ones for now
     TargetFailing,
     /// the target is draining and its keys are being moved
@@ -75,7 +77,7 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub const ALL: [Self; 30] = [
+    pub const ALL: [Self; 31] = [
         Self::UnknownService,
         Self::KeyMissing,
         Self::KeyInvalid,
@@ -91,6 +93,7 @@
         Self::QueueFull,
         Self::CallerShare,
         Self::TargetShed,
+        Self::TargetPaused,
         Self::TargetFailing,
         Self::TargetDraining,
         Self::TargetUnreachable,
@@ -127,6 +130,7 @@
             Self::QueueFull => "queue_full",
             Self::CallerShare => "caller_share",
             Self::TargetShed => "target_shed",
+            Self::TargetPaused => "target_paused",
             Self::TargetFailing => "target_failing",
             Self::TargetDraining => "target_draining",
             Self::TargetUnreachable => "target_unreachable",
@@ -171,6 +175,7 @@
             Self::DeadlineBeforeStart | Self::DeadlineAfterStart => 504,
             Self::QueueFull
             | Self::TargetShed
+            | Self::TargetPaused
             | Self::TargetFailing
             | Self::TargetDraining
             | Self::TargetUnreachable
@@ -203,7 +208,9 @@
         match self {
             // Another host takes the request at once.
             Self::Stopping => Some(20),
-            Self::QueueFull | Self::CallerShare | Self::TargetShed => Some(100),
+            Self::QueueFull | Self::CallerShare | Self::TargetShed | Self::TargetPaused => {
+                Some(100)
+            }
             Self::TargetFailing
             | Self::TargetDraining
             | Self::TargetUnreachable
