Hold few requests for a target that pauses again and again

Change: if a target asked for a pause before, no more requests wait than it has answered since that one began, but at least one. The others are refused at once.

`few_requests_wait_for_a_target_that_pauses_again` fails without the limit (4 requests wait in place of 1).

--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -65,6 +65,10 @@
     overloaded_until: Millis,
     /// End of the pause that the target asked for; 0 if there is none.
     pause_end: Millis,
+    /// Requests that may wait for the end of the pause; `None` if their number is not limited.
+    pause_room: Option<u64>,
+    /// Answers since the start of the last pause; `None` before the first one.
+    answered: Option<u64>,
     /// Sequence number of the next offer.
     next_sequence: u64,
 }
@@ -85,6 +89,8 @@
             pending: Decisions::new(),
             overloaded_until: 0,
             pause_end: 0,
+            pause_room: None,
+            answered: None,
             next_sequence: 0,
         }
     }
@@ -122,6 +128,7 @@
             RequestEnd::Answered => {
                 self.service.on_answer(took_ms);
                 self.concurrency.on_answer();
+                self.answered = self.answered.map(|it| it + 1);
             }
             RequestEnd::Shed => self.concurrency.on_shed(now, running.started),
             RequestEnd::Failed | RequestEnd::Cancelled => self.service.on_censored(took_ms),
--- a/crates/admission/src/queue/pause.rs
+++ b/crates/admission/src/queue/pause.rs
@@ -12,6 +12,12 @@
         if self.pause_end == until {
             return;
         }
+        if !self.is_paused(now) && now < until {
+            // A target that answers few requests between two pauses can be expected to do so after
+            // this one; further requests would be held for nothing.
+            self.pause_room = self.answered.map(|it| it.max(1));
+            self.answered = Some(0);
+        }
         self.pause_end = until;
         self.refuse_hopeless(now);
     }
@@ -43,7 +49,8 @@
         }
     }
 
-    /// In a pause, refuses the waiting requests whose turn after it is too late.
+    /// In a pause, refuses the waiting requests whose turn after it is too late or, going by what
+    /// the target answered since the last pause, will not come.
     pub(super) fn refuse_hopeless(&mut self, now: Millis) {
         if !self.is_paused(now) {
             return;
@@ -54,7 +61,8 @@
         let mut ahead = 0;
         for waiter in waiting {
             let starts_at = self.pause_end + ahead * self.service.mean_us() / (slots * 1_000);
-            if starts_at <= self.last_start(&waiter) {
+            let has_room = self.pause_room.is_none_or(|it| ahead < it);
+            if has_room && starts_at <= self.last_start(&waiter) {
                 ahead += 1;
                 continue;
             }
--- a/crates/admission/src/queue/pause/tests.rs
+++ b/crates/admission/src/queue/pause/tests.rs
@@ -90,6 +90,33 @@
     assert_eq!(started, [Decision::Start(3), Decision::Start(5)]);
 }
 
+/// Guards against requests that are held for one pause after another of a target that answers few
+/// between them.
+#[test]
+fn few_requests_wait_for_a_target_that_pauses_again() {
+    struct Case {
+        answered: u64,
+        waiting: usize,
+    }
+    let cases = [(0, 1), (1, 1), (2, 2), (50, 4)];
+    for (answered, waiting) in cases {
+        let case = Case { answered, waiting };
+        let mut queue = idle();
+        queue.set_pause(0, 500);
+        queue.set_pause(500, 0);
+        for id in 1..=case.answered {
+            assert_eq!(queue.offer(500, ticket(id, 9_000)), OfferResult::Start);
+            queue.finish(500, id, 100, RequestEnd::Answered);
+        }
+        queue.set_pause(600, 1_100);
+        for id in 101..=104 {
+            let offer = queue.offer(600, ticket(id, 9_000));
+            assert_eq!(offer, OfferResult::Wait, "request {id}");
+        }
+        assert_eq!(queue.waiting(), case.waiting, "{answered} answered");
+    }
+}
+
 /// Guards against a pause that outlasts the target that asked for it.
 #[test]
 fn a_pause_can_be_ended() {
