--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -47,6 +47,8 @@
     configurations: Counter<u64>,
     store_calls: Counter<u64>,
     orders: Counter<u64>,
+    pauses: Counter<u64>,
+    paused_targets: Gauge<u64>,
     former_holds: Counter<u64>,
     departures: Counter<u64>,
     leaving_targets: Gauge<u64>,
@@ -74,6 +76,8 @@
             configurations: counter("configurations_received"),
             store_calls: counter("store_calls"),
             orders: counter("orders"),
+            pauses: counter("pauses"),
+            paused_targets: meter.u64_gauge("paused_targets").build(),
             former_holds: counter("former_holds"),
             departures: counter("departures_learned"),
             leaving_targets: meter.u64_gauge("leaving_targets").build(),
@@ -141,6 +145,17 @@
         self.orders.add(1, &labels);
     }
 
+    /// Counts a pause that a target of a service asked for.
+    pub fn pause(&self, service: &str) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.pauses.add(1, &labels);
+    }
+
+    /// Records the number of targets in a pause.
+    pub fn paused_targets(&self, count: usize) {
+        self.paused_targets.record(count as u64, &[]);
+    }
+
     /// Counts a hold of a previous owner, by how it ended.
     pub fn former_hold(&self, end: &'static str) {
         let labels = [KeyValue::new("end", end)];
