Let orders to a target wait for a connection

Callers saw keys refused or moved after a takeover: hundreds of orders ended as not_sent or no_answer in the instant in which they were made, and a target whose order was not sent counts as silent after 0.9 s.

Cause: a coordinator sends one order for each slice at the same time, and three connections may be open to a target. The pool fails at once when they are all in use; also when the last idle ones have just been closed to make room for a new one, so that of several releases only the first was sent.

Now orders wait for one of the connections, as part of their time-out, and a call waits for a connection that is being closed or returned.

An order whose time is up when it gets a connection, because the process was paused, is not sent (no test).

--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -108,6 +108,29 @@
             .unwrap_or(Err(ConnectError::Unreachable))
     }
 
+    /// As [`Pool::checkout`], but waits while all connections are in use or being closed.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection is available within `timeout`.
+    pub async fn checkout_waiting(
+        &self,
+        freshness: Freshness,
+        timeout: Duration,
+    ) -> Result<Sender, ConnectError> {
+        let until = Instant::now() + timeout;
+        loop {
+            let changed = self.open.changed.notified();
+            match self.checkout(freshness, until - Instant::now()).await {
+                Err(ConnectError::Exhausted) => {}
+                result => return result,
+            }
+            if timeout_at(until, changed).await.is_err() {
+                return Err(ConnectError::Exhausted);
+            }
+        }
+    }
+
     fn is_full(&self) -> bool {
         self.open.number.load(Ordering::Relaxed) >= self.limit.load(Ordering::Relaxed)
     }
@@ -115,11 +138,11 @@
     /// Waits until another connection is allowed.
     async fn room(&self) {
         loop {
-            let closed = self.open.closed.notified();
+            let changed = self.open.changed.notified();
             if !self.is_full() {
                 return;
             }
-            closed.await;
+            changed.await;
         }
     }
 
@@ -129,6 +152,7 @@
             return;
         }
         self.idle().push(sender);
+        self.open.changed.notify_waiters();
     }
 
     /// Closes all idle connections. Used after a connection got no answer or broke, because others
@@ -174,8 +198,8 @@
 #[derive(Default)]
 struct OpenCount {
     number: AtomicUsize,
-    /// Notified when a connection has been closed.
-    closed: Notify,
+    /// Notified when a connection has been closed or returned.
+    changed: Notify,
 }
 
 /// Counts one open connection until it is dropped.
@@ -191,6 +215,6 @@
 impl Drop for OpenGuard {
     fn drop(&mut self) {
         self.0.number.fetch_sub(1, Ordering::Relaxed);
-        self.0.closed.notify_waiters();
+        self.0.changed.notify_waiters();
     }
 }
