Keep the lease while the store answers slowly

With a store that answers in 0.6 s or more, there was no coordinator for seconds although the store answered: orders to targets stopped.

Cause: the lease lasts 1.5 s whatever the store takes, a write was given up after 0.8 s and its answer ignored, a candidate gave up its read and its write after 0.8 s as well, and began to renew 0.5 s after it had read the rows instead of 0.5 s after it had taken the lease.

Now the lease lasts three round trips (1.5 to 4.5 s). A late write is followed by another one, and its answer still counts until 3.2 s. While the lease may have expired, orders are suspended; the tenure goes on if a renewal is applied, which shows that nobody else took the lease. Grants stay extended while calls take 0.3 s or more. A candidate waits 3.2 s and asks other hosts meanwhile.

That grants stay extended is not shown by a test.

--- a/crates/coordinator/src/lease.rs
+++ b/crates/coordinator/src/lease.rs
@@ -13,6 +13,23 @@
 /// Maximum assumed drift between the holder's clock and the store's.
 const MAX_DRIFT_PERCENT: u64 = 2;
 
+/// Duration of the lease while the store answers fast, in milliseconds.
+pub const LEASE_MS: Millis = 1_500;
+
+/// Longest duration of the lease, in milliseconds.
+pub const MAX_LEASE_MS: Millis = 4_500;
+
+/// Round trips to the store that a lease lasts: that of the write, that of the next one, and the
+/// time until that one is sent.
+const LEASE_ROUND_TRIPS: u64 = 3;
+
+/// Returns the duration of a lease that is written while a call of the store takes `round_trip`
+/// milliseconds.
+#[must_use]
+pub fn lease_duration(round_trip: Millis) -> Millis {
+    (round_trip * LEASE_ROUND_TRIPS).clamp(LEASE_MS, MAX_LEASE_MS)
+}
+
 /// The value of the lease's row.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseRow {
@@ -43,6 +60,15 @@
     /// Name of the row.
     pub const NAME: &'static str = "lease";
 
+    /// Returns the expiry that a renewal at `now` asks for, in milliseconds of the store's clock.
+    /// It is never earlier than the present one, on which the holder counts until it knows that
+    /// the renewal was applied.
+    #[must_use]
+    pub fn renewed_until(&self, clock: &StoreClock, now: Millis, round_trip: Millis) -> Millis {
+        let until = clock.earliest_time(now) + lease_duration(round_trip);
+        until.max(self.until)
+    }
+
     /// Returns the term of the next tenure, after the latest one that is known. It is also above
     /// the terms of earlier generations that the store has lost.
     #[must_use]
@@ -64,6 +90,26 @@
 }
 
 impl StoreClock {
+    /// How long the call took, in milliseconds.
+    #[must_use]
+    pub fn round_trip(&self) -> Millis {
+        self.received.saturating_sub(self.sent)
+    }
+
+    /// Returns the one of two readings from which the store's time at `now` is known better.
+    #[must_use]
+    pub fn better(self, other: Self, now: Millis) -> Self {
+        let error = |it: Self| {
+            let age = now.saturating_sub(it.received);
+            it.round_trip() + age * 2 * MAX_DRIFT_PERCENT / 100
+        };
+        if error(self) < error(other) {
+            self
+        } else {
+            other
+        }
+    }
+
     /// Returns the earliest time that the store's clock can show at `now`; drift is not considered.
     #[must_use]
     pub fn earliest_time(&self, now: Millis) -> Millis {
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -16,7 +16,7 @@
 mod table;
 
 pub use demand::{Demand, KeyLoad};
-pub use lease::{LeaseRow, StoreClock};
+pub use lease::{LEASE_MS, LeaseRow, MAX_LEASE_MS, StoreClock, lease_duration};
 pub use range::{Key, KeyRange};
 pub use row::{RowError, SliceRow};
 pub use slice::{FencingToken, Incarnation, Phase, Slice};
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -5,7 +5,7 @@
 use coordinator::SliceRow;
 
 use super::{
-    lease::{Lease, LeaseView},
+    lease::{FAST_ANSWER, Lease, LeaseView, SLOW_ANSWER},
     loads,
     tenure::Tenure,
 };
@@ -64,6 +64,7 @@
         match find_coordinator(&node, resigned).await {
             Some(Found::Lease(lease)) => coordinate(&node, lease).await,
             Some(Found::Coordinator(address)) => node.set_coordinator(Some(address)),
+            None if node.coordinator().is_some() => {}
             None => {
                 ask_other_hosts(&node).await;
                 tokio::time::sleep(RETRY_PAUSE).await;
@@ -83,7 +84,7 @@
 /// Reads the lease, and takes it if it is free: it has expired, its holder has resigned, or its
 /// holder was a previous run of this process.
 async fn find_coordinator(node: &Arc<Node>, resigned: Option<u64>) -> Option<Found> {
-    let view = LeaseView::read(node).await?;
+    let view = read_lease(node).await?;
     if let Some(row) = view.holder()
         && row.peer != node.info.peer
         && resigned < Some(row.term)
@@ -101,6 +102,27 @@
     view.take(node).await.map(Found::Lease)
 }
 
+/// Reads the lease. Gets updates from other hosts while the store is slow to answer; `None` if it
+/// does not answer, or if they name a coordinator that can be reached first.
+async fn read_lease(node: &Arc<Node>) -> Option<LeaseView> {
+    let read = LeaseView::read(node, SLOW_ANSWER);
+    tokio::pin!(read);
+    loop {
+        if let Ok(view) = tokio::time::timeout(FAST_ANSWER, &mut read).await {
+            return view;
+        }
+        ask_other_hosts(node).await;
+        let Some(address) = node.coordinator() else {
+            continue;
+        };
+        let client = PeerClient::connect(address, CONNECT_TIMEOUT).await;
+        if address != node.info.peer && client.is_ok() {
+            return None;
+        }
+        node.set_coordinator(None);
+    }
+}
+
 /// How long a host of power `own` waits before it takes the lease, given the powers of the others.
 /// Power is in thousandths of a core; an `own` power below 50 counts as 50.
 fn power_wait(own: u32, others: impl Iterator<Item = u32>) -> Duration {
@@ -112,7 +134,7 @@
 
 async fn coordinate(node: &Arc<Node>, lease: Lease) {
     let own = loop {
-        match node.store.own_rows().await {
+        match node.store.own_rows(SLOW_ANSWER).await {
             Ok(own) => break own,
             Err(err) if node.clock.now() >= lease.until => {
                 log::warn!("the lease expired before the owners of keys were read: {err}");
@@ -141,7 +163,7 @@
             (own, last.max(known))
         }
         None | Some(Err(StoreError::HistoryGone)) => {
-            let own = node.store.own_rows().await.ok()?;
+            let own = node.store.own_rows(FAST_ANSWER).await.ok()?;
             let rev = own.rev();
             (own, Some(rev))
         }
@@ -195,7 +217,7 @@
                         return resigned;
                     }
                     if needs_successor {
-                        store_reachable = Some(LeaseView::read(node).await.is_some());
+                        store_reachable = Some(LeaseView::read(node, FAST_ANSWER).await.is_some());
                         if store_reachable == Some(false) {
                             tokio::time::sleep(RETRY_PAUSE).await;
                         }
--- a/crates/router/src/control/lease.rs
+++ b/crates/router/src/control/lease.rs
@@ -1,14 +1,20 @@
 //! The coordinator's lease in the store.
 
-use coordinator::{LeaseRow, Millis, StoreClock};
+use std::time::Duration;
+
+use coordinator::{LeaseRow, Millis, StoreClock, lease_duration};
 
 use crate::{
     node::Node,
-    ports::{CommitResult, OwnRows, Revision, Transaction},
+    ports::{CommitOptions, CommitResult, OwnRows, Revision, Transaction},
 };
 
-/// Duration of the lease.
-pub const LEASE_MS: u64 = 1_500;
+/// Longest wait for an answer of a store that others may reach faster.
+pub const FAST_ANSWER: Duration = Duration::from_millis(800);
+
+/// Longest wait for an answer of a store that is slow. It exceeds two writes without an answer, so
+/// that each of several may still be answered while the next ones are tried.
+pub const SLOW_ANSWER: Duration = Duration::from_millis(3_200);
 
 /// The state of the lease as this host read it.
 #[derive(Clone, Debug)]
@@ -42,10 +48,10 @@
 }
 
 impl LeaseView {
-    /// Reads the lease; `None` if the store does not answer.
-    pub async fn read(node: &Node) -> Option<Self> {
+    /// Reads the lease; `None` if the store does not answer within `timeout`.
+    pub async fn read(node: &Node, timeout: Duration) -> Option<Self> {
         let sent = node.clock.now();
-        match node.store.own_row(LeaseRow::NAME).await {
+        match node.store.own_row(LeaseRow::NAME, timeout).await {
             Ok(rows) => Some(Self::of(node, &rows, sent)),
             Err(err) => {
                 log::debug!("the lease cannot be read: {err}");
@@ -92,7 +98,9 @@
             host: node.settings.host.clone(),
             peer: node.info.peer,
             term: LeaseRow::next_term(known_term, generation),
-            until: self.clock.earliest_time(node.clock.now()) + LEASE_MS,
+            // Before the first renewal, the rows are read as well.
+            until: self.clock.earliest_time(node.clock.now())
+                + lease_duration(2 * self.clock.round_trip()),
             nonce: rand::random(),
             complete_in: match &self.row {
                 Some(row) => row.complete_in,
@@ -107,7 +115,11 @@
         };
         let until = self.clock.local_expiry(row.until);
         let sent = node.clock.now();
-        match node.store.commit(&transaction).await {
+        let options = CommitOptions {
+            timeout: SLOW_ANSWER,
+            is_retry: false,
+        };
+        match node.store.commit(&transaction, options).await {
             // In another generation the expected revision may be that of another holder's row.
             CommitResult::Applied { rev, .. } if rev.generation != self.rev.generation => None,
             CommitResult::Applied { rev, store_ms } => {
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -45,6 +45,10 @@
 /// Interval at which loads are balanced.
 const BALANCE_INTERVAL_MS: u64 = 200;
 
+/// Longest time for which orders are suspended because the lease may have expired. A store that
+/// begins to take 2 s for each call answers two writes in this time.
+const MAX_SUSPENSION_MS: u64 = 3_500;
+
 /// Time without an answer to a write after which the store is treated as slow.
 const SLOW_WRITE_MS: u64 = 300;
 
@@ -116,8 +120,10 @@
     renew_at: Millis,
     /// Earliest time of the next write; set after a failure.
     write_at: Millis,
-    /// When the write in flight was started.
-    write_started: Option<Millis>,
+    /// How long the last call of the store took that was answered.
+    round_trip: Millis,
+    /// Whether orders are suspended: the lease may have expired.
+    suspended: bool,
     /// Consecutive failed writes.
     failures: u32,
     /// Whether another host has reported that it can reach the store while this one cannot.
@@ -136,8 +142,8 @@
     services: BTreeMap<Arc<str>, KeyedService>,
     registry: HostRegistry,
     crashes: Crashes,
-    /// Writes whose answers were lost. All expect the same revision of the lease, so at most one of
-    /// them can be applied.
+    /// Writes whose results are unknown or not known yet. All expect the present revision of the
+    /// lease, so at most one of them can be applied.
     unconfirmed: Vec<LeaseWrite>,
     completion_sender: mpsc::UnboundedSender<Completion>,
     completion_receiver: mpsc::UnboundedReceiver<Completion>,
@@ -151,11 +157,12 @@
         Self {
             registry: HostRegistry::new(&node.hosts.load(), node.info.clone(), now),
             lost_rows: LostRows::detect(&node, &lease),
+            renew_at: lease.clock.sent + RENEW_INTERVAL_MS,
+            write_at: now,
+            round_trip: lease.clock.round_trip(),
+            suspended: false,
             node,
             lease,
-            renew_at: now + RENEW_INTERVAL_MS,
-            write_at: now,
-            write_started: None,
             failures: 0,
             has_successor: false,
             superseded: false,
@@ -185,23 +192,27 @@
         }
         loop {
             let now = self.node.clock.now();
-            if now >= self.lease.until {
+            if now >= self.lease.until + MAX_SUSPENSION_MS {
                 log::warn!("the lease has expired");
                 break;
             }
+            self.suspend_or_resume(now);
             if *self.node.stopping.borrow() {
                 self.release().await;
                 break;
             }
-            if now >= self.plan_at {
-                self.plan_at = now + PLAN_INTERVAL_MS;
-                self.plan(now);
+            if !self.suspended {
+                if now >= self.plan_at {
+                    self.plan_at = now + PLAN_INTERVAL_MS;
+                    self.plan(now);
+                }
+                self.send_orders(now);
             }
-            self.send_orders(now);
             if self.has_successor {
                 log::warn!("another host can reach the store; this one resigns");
                 break;
             }
+            self.check_late_write(now);
             let urgent = self.services.values().any(|it| it.manager.needs_commit());
             if now >= self.write_at && (urgent || now >= self.renew_at) {
                 self.commit();
@@ -265,13 +276,29 @@
         }
     }
 
-    /// Extends grants to their longest duration while the store does not answer, so that owners
-    /// keep their keys if the lease expires before the store is back.
+    /// Suspends orders while the lease may have expired. The tenure goes on if a write that
+    /// expects the revision of this lease is applied: nobody else has taken the lease then.
+    fn suspend_or_resume(&mut self, now: Millis) {
+        let suspended = now >= self.lease.until;
+        if suspended == self.suspended {
+            return;
+        }
+        self.suspended = suspended;
+        if suspended {
+            log::warn!("the lease may have expired; orders are suspended");
+            if self.failures > 0 {
+                self.node.set_needs_successor(true);
+            }
+        } else {
+            log::info!("the lease is renewed; orders are resumed");
+        }
+    }
+
+    /// Extends grants to their longest duration while the store answers slowly or not at all, so
+    /// that owners keep their keys if the lease expires before the store is back.
     fn extend_grants_in_outage(&mut self, now: Millis) {
-        let write_slow = self
-            .write_started
-            .is_some_and(|it| now >= it + SLOW_WRITE_MS);
-        let store_slow = write_slow || self.failures > 0;
+        let waiting = self.oldest_write().map_or(0, |it| now.saturating_sub(it));
+        let store_slow = self.round_trip.max(waiting) >= SLOW_WRITE_MS || self.failures > 0;
         for keyed in self.services.values_mut() {
             keyed.manager.set_extended_grants(store_slow, now);
         }
--- a/crates/router/src/control/tenure/commit.rs
+++ b/crates/router/src/control/tenure/commit.rs
@@ -7,8 +7,8 @@
 
 use super::{Completion, RENEW_INTERVAL_MS, Tenure};
 use crate::{
-    control::lease::{LEASE_MS, encode},
-    ports::{CommitResult, OwnRows, Revision, Transaction},
+    control::lease::{FAST_ANSWER, SLOW_ANSWER, encode},
+    ports::{CommitOptions, CommitResult, OwnRows, Revision, Transaction},
 };
 
 /// Maximum number of rows that one transaction changes in addition to the lease; the store accepts
@@ -18,6 +18,9 @@
 /// Pause before a failed write is retried.
 const RETRY_PAUSE_MS: u64 = 100;
 
+/// Shortest time without an answer after which a write is late, so that another one is sent.
+const LATE_WRITE_MS: u64 = 800;
+
 /// Consecutive failed writes after which this host asks for a successor that can reach the store.
 const MAX_FAILURES: u32 = 2;
 
@@ -35,45 +38,98 @@
 pub(super) struct LeaseWrite {
     row: LeaseRow,
     batches: Vec<Batch>,
+    sent: Millis,
+    state: WriteState,
+}
+
+/// What is known of a write whose result is unknown.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WriteState {
+    /// It is in flight.
+    InFlight,
+    /// It is in flight and late.
+    Late,
+    /// It is not answered any more.
+    Lost,
 }
 
 /// A write that has completed, with its result.
 pub(super) struct FinishedWrite {
-    write: LeaseWrite,
+    /// Nonce of its lease row.
+    nonce: u64,
+    /// The revision of the lease that it expected.
+    expected: Revision,
     sent: Millis,
     commit: CommitResult,
 }
 
 impl Tenure {
-    /// Starts a write of the changed rows that also renews the lease, unless one is in flight.
+    /// Starts a write of the changed rows that also renews the lease, unless one is in flight that
+    /// is not late.
     pub(super) fn commit(&mut self) {
-        if self.write_started.is_some() {
+        let in_flight = |it: &LeaseWrite| it.state == WriteState::InFlight;
+        if self.unconfirmed.iter().any(in_flight) {
             return;
         }
         let now = self.node.clock.now();
-        self.write_started = Some(now);
-        let until = self.lease.clock.earliest_time(now) + LEASE_MS;
+        let waiting = self.oldest_write().map_or(0, |it| now.saturating_sub(it));
+        let (row, clock) = (&self.lease.row, &self.lease.clock);
+        let until = row.renewed_until(clock, now, self.round_trip.max(waiting));
         let (write, transaction) = self.prepare(until);
+        let options = CommitOptions {
+            timeout: SLOW_ANSWER,
+            is_retry: !self.unconfirmed.is_empty(),
+        };
+        let (nonce, expected) = (write.row.nonce, self.lease.rev);
+        self.unconfirmed.push(write);
         let node = Arc::clone(&self.node);
         let completion_sender = self.completion_sender.clone();
         tokio::spawn(async move {
             let sent = node.clock.now();
-            let commit = node.store.commit(&transaction).await;
+            let commit = node.store.commit(&transaction, options).await;
             // The receiver is gone if the tenure has ended meanwhile.
             let _ = completion_sender.send(Completion::Write(FinishedWrite {
-                write,
+                nonce,
+                expected,
                 sent,
                 commit,
             }));
         });
     }
 
+    /// When the oldest write in flight was sent that expects the present revision of the lease.
+    pub(super) fn oldest_write(&self) -> Option<Millis> {
+        let writes = self.unconfirmed.iter();
+        let in_flight = writes.filter(|it| it.state != WriteState::Lost);
+        in_flight.map(|it| it.sent).min()
+    }
+
+    /// Counts a write that is late as failed, so that another one is sent; its answer still counts.
+    pub(super) fn check_late_write(&mut self, now: Millis) {
+        let late_after = LATE_WRITE_MS.max(2 * self.round_trip);
+        let mut late = false;
+        for write in &mut self.unconfirmed {
+            if write.state == WriteState::InFlight && now >= write.sent + late_after {
+                write.state = WriteState::Late;
+                late = true;
+            }
+        }
+        if late {
+            log::warn!("the lease renewal is not answered yet");
+            self.on_write_failed();
+        }
+    }
+
     /// Releases the lease so that another host can take it at once. If that fails, targets are
     /// granted their keys for the longest duration, because the next coordinator may have to wait
     /// until the lease has expired.
     pub(super) async fn release(&mut self) {
         let (_, transaction) = self.prepare(0);
-        let commit = self.node.store.commit(&transaction).await;
+        let options = CommitOptions {
+            timeout: FAST_ANSWER,
+            is_retry: false,
+        };
+        let commit = self.node.store.commit(&transaction, options).await;
         if matches!(commit, CommitResult::Applied { .. }) {
             return;
         }
@@ -120,7 +176,13 @@
             transaction.puts.extend(values);
             transaction.removes.extend(batch.removes.iter().cloned());
         }
-        (LeaseWrite { row, batches }, transaction)
+        let write = LeaseWrite {
+            row,
+            batches,
+            sent: self.node.clock.now(),
+            state: WriteState::InFlight,
+        };
+        (write, transaction)
     }
 
     /// Whether the owners of all services with keys are recovered.
@@ -139,38 +201,63 @@
 
     /// Handles the result of a write.
     pub(super) fn on_written(&mut self, finished: FinishedWrite) {
-        self.write_started = None;
         let FinishedWrite {
-            write,
+            nonce,
+            expected,
             sent,
             commit,
         } = finished;
+        // A write that expects an earlier revision has not been applied, or its result is known.
+        let is_current = expected == self.lease.rev;
+        let idx = self.unconfirmed.iter().position(|it| it.row.nonce == nonce);
         match commit {
             CommitResult::Applied { rev, .. } if !self.is_same_generation(rev) => {
                 self.superseded = true;
             }
             CommitResult::Applied { rev, store_ms } => {
-                self.on_applied(write, rev, sent);
-                self.node.set_needs_successor(false);
-                self.lease.clock = StoreClock {
-                    sent,
-                    received: self.node.clock.now(),
-                    value: store_ms,
-                };
+                if let Some(idx) = idx {
+                    let write = self.unconfirmed.swap_remove(idx);
+                    self.on_applied(write, rev, sent);
+                }
+                self.on_answered(sent, store_ms);
+            }
+            CommitResult::Conflict(rows) if is_current => {
+                self.resolve_conflict(&rows, sent);
+                self.on_answered(sent, rows.store_ms);
             }
-            CommitResult::Conflict(rows) => self.resolve_conflict(&rows, sent),
+            CommitResult::Conflict(rows) => self.on_answered(sent, rows.store_ms),
             CommitResult::NotApplied(err) => {
                 log::warn!("the lease renewal failed: {err}");
-                self.on_write_failed();
+                if let Some(idx) = idx {
+                    self.unconfirmed.swap_remove(idx);
+                    self.on_write_failed();
+                }
             }
             CommitResult::Unknown => {
                 log::warn!("the result of the lease renewal is unknown");
-                self.unconfirmed.push(write);
-                self.on_write_failed();
+                let Some(idx) = idx else { return };
+                let write = &mut self.unconfirmed[idx];
+                let was_late = write.state == WriteState::Late;
+                write.state = WriteState::Lost;
+                if !was_late {
+                    self.on_write_failed();
+                }
             }
         }
     }
 
+    /// Handles an answer that was sent after the store had executed a write.
+    fn on_answered(&mut self, sent: Millis, store_ms: Millis) {
+        let now = self.node.clock.now();
+        let clock = StoreClock {
+            sent,
+            received: now,
+            value: store_ms,
+        };
+        self.round_trip = clock.round_trip();
+        self.lease.clock = self.lease.clock.better(clock, now);
+    }
+
     fn on_write_failed(&mut self) {
         let now = self.node.clock.now();
         self.renew_at = now;
@@ -194,7 +281,8 @@
 
     /// Handles a write that the store has applied: this host holds the lease.
     fn on_applied(&mut self, write: LeaseWrite, rev: Revision, sent: Millis) {
-        let LeaseWrite { row, batches } = write;
+        let LeaseWrite { row, batches, .. } = write;
+        self.node.set_needs_successor(false);
         self.lease.until = self.lease.clock.local_expiry(row.until);
         self.lease.rev = rev;
         self.lease.row = row;
--- a/crates/router/src/control/tenure/lost_rows.rs
+++ b/crates/router/src/control/tenure/lost_rows.rs
@@ -2,12 +2,9 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use coordinator::{Memory, Millis, SliceTable};
+use coordinator::{MAX_LEASE_MS, Memory, Millis, SliceTable};
 
-use crate::{
-    control::lease::{LEASE_MS, Lease},
-    node::Node,
-};
+use crate::{control::lease::Lease, node::Node};
 
 /// State of this host when it took the lease of a store that has lost rows.
 pub(super) struct LostRows {
@@ -34,7 +31,7 @@
         Some(Self {
             knows_targets,
             departed: targets.departed().cloned().collect(),
-            lease_end: node.clock.now() + LEASE_MS,
+            lease_end: node.clock.now() + MAX_LEASE_MS,
         })
     }
 
--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -16,8 +16,8 @@
 use crate::{
     node::Node,
     ports::{
-        CommitResult, OwnRows, ProtocolProfile, Read, Revision, Store, StoreError, TargetApi,
-        Topic, Transaction,
+        CommitOptions, CommitResult, OwnRows, ProtocolProfile, Read, Revision, Store, StoreError,
+        TargetApi, Topic, Transaction,
     },
     run::Ports,
     settings::Settings,
@@ -82,7 +82,7 @@
         }))
     }
 
-    fn own_rows(&self) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
+    fn own_rows(&self, _: Duration) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
         Box::pin(ready(Ok(OwnRows::default())))
     }
 
@@ -94,11 +94,15 @@
         }))
     }
 
-    fn own_row<'a>(&'a self, _: &'a str) -> BoxFuture<'a, Result<OwnRows, StoreError>> {
+    fn own_row<'a>(
+        &'a self,
+        _: &'a str,
+        _: Duration,
+    ) -> BoxFuture<'a, Result<OwnRows, StoreError>> {
         Box::pin(ready(Err(StoreError::NoAnswer)))
     }
 
-    fn commit<'a>(&'a self, _: &'a Transaction) -> BoxFuture<'a, CommitResult> {
+    fn commit<'a>(&'a self, _: &'a Transaction, _: CommitOptions) -> BoxFuture<'a, CommitResult> {
         let commit = self.commit.clone();
         Box::pin(ready(commit.unwrap_or(CommitResult::Unknown)))
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,8 +23,8 @@
 mod state;
 
 pub use ports::{
-    CommitResult, GRANT_TIMEOUT, OwnRow, OwnRows, ProtocolProfile, Read, Record, RefusalStatus,
-    Revision, Store, StoreError, TargetApi, Topic, Transaction, Update,
+    CommitOptions, CommitResult, GRANT_TIMEOUT, OwnRow, OwnRows, ProtocolProfile, Read, Record,
+    RefusalStatus, Revision, Store, StoreError, TargetApi, Topic, Transaction, Update,
 };
 pub use run::{Ports, run};
 pub use settings::{Settings, SettingsError};
--- a/crates/router/src/observe/store.rs
+++ b/crates/router/src/observe/store.rs
@@ -11,7 +11,9 @@
 use process::BootClock;
 
 use super::Metrics;
-use crate::ports::{CommitResult, OwnRows, Read, Revision, Store, StoreError, Topic, Transaction};
+use crate::ports::{
+    CommitOptions, CommitResult, OwnRows, Read, Revision, Store, StoreError, Topic, Transaction,
+};
 
 /// A store whose calls are counted.
 pub struct ObservedStore {
@@ -81,9 +83,9 @@
         })
     }
 
-    fn own_rows(&self) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
+    fn own_rows(&self, timeout: Duration) -> BoxFuture<'_, Result<OwnRows, StoreError>> {
         Box::pin(async move {
-            let result = self.inner.own_rows().await;
+            let result = self.inner.own_rows(timeout).await;
             self.record("own_rows", &result);
             result
         })
@@ -97,17 +99,25 @@
         })
     }
 
-    fn own_row<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<OwnRows, StoreError>> {
+    fn own_row<'a>(
+        &'a self,
+        name: &'a str,
+        timeout: Duration,
+    ) -> BoxFuture<'a, Result<OwnRows, StoreError>> {
         Box::pin(async move {
-            let result = self.inner.own_row(name).await;
+            let result = self.inner.own_row(name, timeout).await;
             self.record("own_row", &result);
             result
         })
     }
 
-    fn commit<'a>(&'a self, transaction: &'a Transaction) -> BoxFuture<'a, CommitResult> {
+    fn commit<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+        options: CommitOptions,
+    ) -> BoxFuture<'a, CommitResult> {
         Box::pin(async move {
-            let commit = self.inner.commit(transaction).await;
+            let commit = self.inner.commit(transaction, options).await;
             let (outcome, err) = match &commit {
                 CommitResult::Applied { .. } => ("ok", None),
                 CommitResult::Conflict(_) => ("conflict", None),
--- a/crates/router/src/ports.rs
+++ b/crates/router/src/ports.rs
@@ -11,6 +11,7 @@
 pub use protocol_profile::{ProtocolProfile, RefusalStatus};
 pub use revision::Revision;
 pub use store::{
-    CommitResult, OwnRow, OwnRows, Read, Record, Store, StoreError, Topic, Transaction, Update,
+    CommitOptions, CommitResult, OwnRow, OwnRows, Read, Record, Store, StoreError, Topic,
+    Transaction, Update,
 };
 pub use target_api::{GRANT_TIMEOUT, TargetApi};
--- a/crates/router/src/ports/store.rs
+++ b/crates/router/src/ports/store.rs
@@ -119,6 +119,16 @@
     Unknown,
 }
 
+/// How a transaction is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CommitOptions {
+    /// Time within which the answer must have arrived.
+    pub timeout: Duration,
+    /// Whether an earlier transaction has no answer yet: this one is sent on a new connection,
+    /// because existing ones may no longer get answers.
+    pub is_retry: bool,
+}
+
 /// Why a call of the store failed.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
 pub enum StoreError {
@@ -148,16 +158,24 @@
         wait: Duration,
     ) -> BoxFuture<'_, Result<Read, StoreError>>;
 
-    /// Reads the router's own rows.
-    fn own_rows(&self) -> BoxFuture<'_, Result<OwnRows, StoreError>>;
+    /// Reads the router's own rows; `timeout` is the longest time until the store answers.
+    fn own_rows(&self, timeout: Duration) -> BoxFuture<'_, Result<OwnRows, StoreError>>;
 
     /// Reads the router's own rows that were written after the revision `after`. Fails with
     /// [`StoreError::HistoryGone`] if the store does not have its history any more.
     fn own_rows_after(&self, after: Revision) -> BoxFuture<'_, Result<OwnRows, StoreError>>;
 
-    /// Reads one of the router's own rows.
-    fn own_row<'a>(&'a self, name: &'a str) -> BoxFuture<'a, Result<OwnRows, StoreError>>;
+    /// Reads one of the router's own rows; `timeout` is the longest time until the store answers.
+    fn own_row<'a>(
+        &'a self,
+        name: &'a str,
+        timeout: Duration,
+    ) -> BoxFuture<'a, Result<OwnRows, StoreError>>;
 
     /// Commits a transaction on the router's own rows.
-    fn commit<'a>(&'a self, transaction: &'a Transaction) -> BoxFuture<'a, CommitResult>;
+    fn commit<'a>(
+        &'a self,
+        transaction: &'a Transaction,
+        options: CommitOptions,
+    ) -> BoxFuture<'a, CommitResult>;
 }
