--- a/review/standins/src/backend.rs
+++ b/review/standins/src/backend.rs
@@ -14,6 +14,7 @@
 use crate::{
     http::{self, Message},
     json::Json,
+    ports,
     record::Record,
     store::Store,
 };
@@ -98,7 +99,7 @@
 impl Backend {
     /// Binds the first listener and starts the thread of the backend.
     pub fn start(mut self) -> io::Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = ports::bind()?;
         self.address = listener.local_addr()?;
         let backend = Arc::new(self);
         let own = Arc::clone(&backend);
--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use crate::{backend::Backend, record::Record, router::Router, store::Store};
+use crate::{backend::Backend, json::Json, record::Record, router::Router, store::Store};
 
 const ZONES: [&str; 2] = ["nord-a", "sud-a"];
 
@@ -88,6 +88,16 @@
     }
 }
 
+impl Deployment {
+    /// The router that last wrote to the store under a condition.
+    pub fn leader(&self) -> Option<usize> {
+        let row = self.store.get("sassafrasstack", "lease")?;
+        let row = Json::parse(row.as_bytes())?;
+        let host = row.get("host").text();
+        self.routers.iter().position(|it| it.name == host)
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         for router in &mut self.routers {
--- a/review/standins/src/lapsed_entries.rs
+++ b/review/standins/src/lapsed_entries.rs
@@ -126,11 +126,13 @@
         ));
         served as f64 / sent.len().max(1) as f64
     };
+    let mut from = 0.0;
+    while from < record.now() {
+        share(from, from + 4.0);
+        from += 4.0;
+    }
     let before = share(0.0, fault);
     let after = share(back + RECOVERY, 1_000.0);
-    for second in 0..23 {
-        share(f64::from(second) * 4.0, f64::from(second) * 4.0 + 4.0);
-    }
     if before < 0.25 {
         return Ok(Verdict::NotRun);
     }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,11 +3,13 @@
 
 mod backend;
 mod deployment;
+mod forgotten_crashes;
 mod http;
 mod json;
 mod lapsed_entries;
 mod large_bodies;
 mod large_heads;
+mod ports;
 mod record;
 mod router;
 mod split_poison;
@@ -41,6 +43,7 @@
     let verdict = match case.as_str() {
         "large-bodies" => large_bodies::run(&record, trouble),
         "large-heads" => large_heads::run(&record, trouble),
+        "forgotten-crashes" => forgotten_crashes::run(&record, trouble),
         "lapsed-entries" => lapsed_entries::run(&record, trouble),
         "split-poison" => split_poison::run(&record, trouble),
         _ => Ok(Verdict::NotRun),
--- a/review/standins/src/router.rs
+++ b/review/standins/src/router.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use crate::http;
+use crate::{http, ports};
 
 pub struct Router {
     pub name: String,
@@ -25,7 +25,7 @@
     pub fn start(folder: &Path, name: &str, zone: &str, store: SocketAddr) -> io::Result<Self> {
         let mut free = Vec::new();
         for _ in 0..5 {
-            free.push(TcpListener::bind("127.0.0.1:0")?);
+            free.push(ports::bind()?);
         }
         let addresses: io::Result<Vec<_>> = free.iter().map(TcpListener::local_addr).collect();
         drop(free);
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     io::{self, BufReader},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     sync::{
         Arc, Condvar, Mutex,
         atomic::{AtomicBool, Ordering},
@@ -15,6 +15,7 @@
 use crate::{
     http::{self, Message},
     json::Json,
+    ports,
 };
 
 /// A row's value in base64 (`None` if it was deleted) and its version.
@@ -37,7 +38,7 @@
 
 impl Store {
     pub fn start() -> io::Result<Arc<Self>> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let listener = ports::bind()?;
         let store = Arc::new(Self {
             address: listener.local_addr()?,
             started: Instant::now(),
@@ -69,6 +70,13 @@
         self.down.store(down, Ordering::Relaxed);
     }
 
+    /// The decoded value of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<String> {
+        let state = self.state.lock().unwrap();
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()))?;
+        decode(row.0.as_ref()?)
+    }
+
     fn serve(&self, mut stream: TcpStream) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         let mut reader = BufReader::new(stream.try_clone().ok()?);
@@ -225,3 +233,19 @@
     }
     out
 }
+
+fn decode(text: &str) -> Option<String> {
+    let mut out = Vec::new();
+    let mut bits = 0_u32;
+    let mut count = 0;
+    for byte in text.bytes().filter(|it| *it != b'=') {
+        let digit = ALPHABET.iter().position(|it| *it == byte)?;
+        bits = bits << 6 | u32::try_from(digit).ok()?;
+        count += 6;
+        if count >= 8 {
+            count -= 8;
+            out.push((bits >> count & 255) as u8);
+        }
+    }
+    String::from_utf8(out).ok()
+}
