--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/sassafrasd ] && [ -x target/review/release/review-standins ] || exit 2
-timeout 110 target/review/release/review-standins large-heads review/3/record.txt
+timeout 110 target/review/release/review-standins forgotten-crashes review/3/record.txt
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
