Wait for targets that register again before their keys move

Cause: a target that was missing from the store's list counted as gone at once. Entries that lapse in an outage are back within about two seconds, one after the other; the first plan, 50 ms after a host had taken the lease, gave all keys to the one or two targets whose entries were back. It did not matter whether the hosts had been restarted: one that remembers the targets saw their removals, one that does not saw owners without an entry. Only a store that had come back from a copy was waited for.

Change: every host knows when the store answers again after an outage of two seconds or more (StoreContact); in a process that has just started its first contact counts as one. For two seconds from then on, removals are left out and the list is read again at the end of that time, and a coordinator whose slices have owners that it does not know plans no moves.

--- a/crates/router/src/control/tenure/plan.rs
+++ b/crates/router/src/control/tenure/plan.rs
@@ -9,7 +9,11 @@
 use routing::Ownership;
 
 use super::{BALANCE_INTERVAL_MS, KeyedService, Tenure};
-use crate::{peers::TargetLoad, ports::GRANT_TIMEOUT, state::TargetState};
+use crate::{
+    peers::TargetLoad,
+    ports::GRANT_TIMEOUT,
+    state::{TargetState, Targets},
+};
 
 /// The first assignment of keys waits until no new target has appeared for this long, because all
 /// targets of a new deployment appear at about the same time. It exceeds the interval at which
@@ -44,10 +48,21 @@
 /// Fraction of its normal speed that a target is assumed to have while it is cold.
 const COLD_SPEED: f64 = 0.5;
 
+/// Whether the list of targets can be planned with.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Registry {
+    /// Targets that are missing from it are gone.
+    Complete,
+    /// Owners are missing from it that may register again: it was read soon after an outage of the
+    /// store, or by a process that does not know whether there was one.
+    Incomplete,
+}
+
 /// The targets of one service.
 struct ServiceTargets {
     incarnations: Vec<Incarnation>,
     usable: Vec<Candidate>,
+    registry: Registry,
 }
 
 impl Tenure {
@@ -102,6 +117,7 @@
             let keyed = self.new_service(service, now);
             self.services.insert(Arc::clone(service), keyed);
         }
+        let complete_at = self.node.targets_complete_at();
         let keyed = self
             .services
             .get_mut(service)
@@ -111,7 +127,11 @@
             let mut members = ServiceTargets {
                 incarnations: Vec::new(),
                 usable: Vec::new(),
+                registry: Registry::Complete,
             };
+            if now < complete_at && keyed.lacks_owners(&targets) {
+                members.registry = Registry::Incomplete;
+            }
             for (name, entry) in targets.all() {
                 if entry.service != *service {
                     continue;
@@ -157,12 +177,19 @@
 }
 
 impl KeyedService {
+    /// Whether keys have no owner yet, or one that is not in the list of targets.
+    fn lacks_owners(&self, targets: &Targets) -> bool {
+        let mut slices = self.manager.slices();
+        !self.manager.unassigned().is_empty()
+            || slices.any(|it| !targets.contains(&it.owner.target))
+    }
+
     fn plan(&mut self, members: ServiceTargets, balance: bool, now: Millis) {
         if members.usable.len() > self.target_peak.0 {
             self.target_peak = (members.usable.len(), now);
         }
         self.manager.set_incarnations(members.incarnations, now);
-        if members.usable.is_empty() {
+        if members.registry == Registry::Incomplete || members.usable.is_empty() {
             return;
         }
         let manager = &mut self.manager;
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -73,7 +73,7 @@
                 };
                 let unreadable = read.unreadable > 0;
                 let again_at = apply(&node, topic, read, complete);
-                if complete {
+                if complete || again_at.is_some() {
                     read_again_at = again_at;
                 }
                 let at = if complete { sent } else { node.clock.now() };
@@ -161,7 +161,9 @@
 /// of their revisions, so that nothing earlier is missing.
 pub async fn read_target_changes(node: &Node) -> bool {
     let known = node.targets().latest_rev();
-    let Some(rev) = known else {
+    let must_read_all =
+        node.targets().removals_left_out() && node.clock.now() >= node.targets_complete_at();
+    let Some(rev) = known.filter(|_| !must_read_all) else {
         return read_once(node, Topic::Targets).await;
     };
     match node.store.watch(Topic::Targets, rev, NO_WAIT).await {
@@ -177,32 +179,40 @@
     }
 }
 
-/// Applies the result of a read. If targets that are missing from a complete list do not count as
-/// gone yet, returns when the list must be read again.
+/// Applies the result of a read. While targets may register again, removals are left out; returns
+/// when the whole list must be read again then.
 fn apply(node: &Node, topic: Topic, read: Read, complete: bool) -> Option<Millis> {
     node.on_generation(read.rev.generation);
+    let complete_at = node.targets_complete_at();
+    let may_return = node.clock.now() < complete_at;
+    let mut left_out = false;
     let mut events = Vec::new();
     let mut names = Vec::new();
     for record in read.records {
         match record.update {
             Update::Catalog(catalog) => node.adopt_catalog(catalog, CatalogSource::Store),
+            Update::Target(name, None) if may_return && node.targets().get(&name).is_some() => {
+                left_out = true;
+            }
             Update::Target(name, entry) => {
                 names.push(Arc::clone(&name));
                 events.push(Event::Target(name, record.rev, entry));
             }
         }
     }
-    let mut read_again_at = None;
-    if complete && topic == Topic::Targets {
-        let complete_at = node.targets().complete_at();
-        read_again_at = Some(complete_at).filter(|it| node.clock.now() < *it);
+    if topic == Topic::Catalog {
+        return None;
     }
-    if complete && topic == Topic::Targets && read_again_at.is_none() {
+    if complete {
         let missing = node.targets().missing_from(&names, read.rev);
-        for name in missing {
+        left_out |= may_return && !missing.is_empty();
+        for name in missing.into_iter().filter(|_| !may_return) {
             events.push(Event::Target(name, read.rev, None));
         }
     }
     node.announce(events);
-    read_again_at
+    if complete || left_out {
+        node.set_removals_left_out(left_out);
+    }
+    left_out.then_some(complete_at)
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -29,7 +29,7 @@
     ports::{ProtocolProfile, Store, TargetApi},
     run::Ports,
     settings::Settings,
-    state::{Catalogs, Targets},
+    state::{Catalogs, StoreContact, Targets},
 };
 
 /// Slices by service.
@@ -113,6 +113,8 @@
     log_limiter: LogLimiter,
     /// The store.
     pub store: Arc<dyn Store>,
+    /// When the store answered.
+    store_contact: Arc<Mutex<StoreContact>>,
     /// Orders to targets.
     pub target_api: Arc<dyn TargetApi>,
     /// The configuration.
@@ -174,7 +176,13 @@
         };
         let clock = BootClock::new();
         let metrics = Arc::new(Metrics::new());
-        let store = ObservedStore::new(ports.store, Arc::clone(&metrics), clock);
+        let store_contact = Arc::<Mutex<StoreContact>>::default();
+        let store = ObservedStore::new(
+            ports.store,
+            Arc::clone(&metrics),
+            clock,
+            Arc::clone(&store_contact),
+        );
         Self {
             hosts: ArcSwap::from_pointee(Hosts::new([info.clone()])),
             info,
@@ -183,6 +191,7 @@
             metrics,
             log_limiter: LogLimiter::new(clock.now()),
             store: Arc::new(store),
+            store_contact,
             target_api: ports.target_api,
             catalog: Catalogs::default(),
             queues: AdmissionQueues::new(clock),
@@ -377,7 +386,9 @@
             let checked_at = sent.saturating_sub(reply.catalog_age);
             self.catalog.confirm(mark, checked_at);
         }
-        self.set_synced_at(sent.saturating_sub(reply.age_ms));
+        let synced_at = sent.saturating_sub(reply.age_ms);
+        self.set_synced_at(synced_at);
+        self.store_contact().on_sync(synced_at, self.clock.now());
         let mut changed = false;
         for event in &reply.events {
             changed |= self.apply(event);
@@ -483,6 +494,18 @@
         self.targets_mut().forget(before);
     }
 
+    /// Returns when a target that is missing from the list counts as gone. Before that time it may
+    /// be running, and its entry may have expired in an outage of the store.
+    pub fn targets_complete_at(&self) -> Millis {
+        let restored = self.targets().complete_at();
+        restored.max(self.store_contact().complete_at())
+    }
+
+    /// Records whether removals of targets were left out because the targets may register again.
+    pub fn set_removals_left_out(&self, left_out: bool) {
+        self.targets_mut().set_removals_left_out(left_out);
+    }
+
     /// The full state of this host as events.
     fn full_state(&self) -> Vec<Event> {
         let mut events = Vec::new();
@@ -570,6 +593,10 @@
         true
     }
 
+    fn store_contact(&self) -> MutexGuard<'_, StoreContact> {
+        self.store_contact.lock().expect("lock is not poisoned")
+    }
+
     fn targets_mut(&self) -> RwLockWriteGuard<'_, Targets> {
         self.targets.write().expect("lock is not poisoned")
     }
--- a/crates/router/src/observe/store.rs
+++ b/crates/router/src/observe/store.rs
@@ -11,24 +11,34 @@
 use process::BootClock;
 
 use super::Metrics;
-use crate::ports::{CommitResult, OwnRows, Read, Revision, Store, StoreError, Topic, Transaction};
+use crate::{
+    ports::{CommitResult, OwnRows, Read, Revision, Store, StoreError, Topic, Transaction},
+    state::StoreContact,
+};
 
 /// A store whose calls are counted.
 pub struct ObservedStore {
     inner: Arc<dyn Store>,
     metrics: Arc<Metrics>,
     clock: BootClock,
+    contact: Arc<Mutex<StoreContact>>,
     /// When the first call failed since the last successful one; `None` while calls succeed.
     outage_since: Mutex<Option<Millis>>,
 }
 
 impl ObservedStore {
-    /// Observes the calls of `inner`.
-    pub fn new(inner: Arc<dyn Store>, metrics: Arc<Metrics>, clock: BootClock) -> Self {
+    /// Observes the calls of `inner` and records their results in `contact`.
+    pub fn new(
+        inner: Arc<dyn Store>,
+        metrics: Arc<Metrics>,
+        clock: BootClock,
+        contact: Arc<Mutex<StoreContact>>,
+    ) -> Self {
         Self {
             inner,
             metrics,
             clock,
+            contact,
             outage_since: Mutex::default(),
         }
     }
@@ -41,6 +51,13 @@
 
     fn on_result(&self, kind: &'static str, err: Option<StoreError>) {
         let now = self.clock.now();
+        {
+            let mut contact = self.contact.lock().expect("lock is not poisoned");
+            match err {
+                None | Some(StoreError::HistoryGone) => contact.on_answer(now),
+                Some(_) => contact.on_failure(),
+            }
+        }
         let mut outage_since = self.outage_since.lock().expect("lock is not poisoned");
         match err {
             None | Some(StoreError::HistoryGone | StoreError::Limited) => {
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -7,13 +7,9 @@
 
 use coordinator::{Incarnation, Millis};
 
-use super::{TargetEntry, TargetState, departures::Departures};
+use super::{TargetEntry, TargetState, departures::Departures, store_contact::REGISTER_AGAIN_MS};
 use crate::ports::Revision;
 
-/// Time after the return of the store from a copy within which the running targets have registered
-/// again.
-const REGISTER_AGAIN_MS: u64 = 2_000;
-
 /// Time after which a leaving incarnation that is no longer registered is forgotten.
 const DEPARTURE_KEEP_MS: u64 = 600_000;
 
@@ -30,6 +26,8 @@
     departures: Departures,
     version: u64,
     generations: Option<Generations>,
+    /// Whether removals were left out because the targets may register again.
+    removals_left_out: bool,
 }
 
 /// The generations of the store that this host has seen.
@@ -171,6 +169,23 @@
         departed.map(|(name, _)| name)
     }
 
+    /// Records whether removals were left out because the targets may register again.
+    pub fn set_removals_left_out(&mut self, left_out: bool) {
+        self.removals_left_out = left_out;
+    }
+
+    /// Whether the list must be read again, since removals were left out.
+    #[must_use]
+    pub fn removals_left_out(&self) -> bool {
+        self.removals_left_out
+    }
+
+    /// Whether a target is or was registered and may still run.
+    #[must_use]
+    pub fn contains(&self, name: &str) -> bool {
+        self.known.contains_key(name)
+    }
+
     /// Returns when a target that is missing from the store counts as gone: running targets
     /// register again after the store has come back from a copy.
     #[must_use]
