Derive the limits of heads between hosts from the longest head

What callers saw: half of the requests with heads of 15,903 bytes, where 16,384 are allowed, were answered 431.

Cause: the HTTP libraries have limits of their own, in other units than the configuration. HTTP/2 counts 32 bytes more for each header, and its server takes 16 KiB by default, so that a head which the entry host takes is refused by the gateway, unless both are the same host.

Related paths, the same cause: the number of headers (100) of a request at the entry host and of an answer at the gateway; the list of headers of a request and of an answer between hosts, in both modes; the number of headers (64) up to which pipelined requests run early; a head above 64 KiB that the configuration allows.

--- a/crates/pool/src/sender.rs
+++ b/crates/pool/src/sender.rs
@@ -16,7 +16,7 @@
 use tokio::{net::TcpStream, time::Instant};
 
 use crate::{
-    AnswerError, AnswerLimits,
+    AnswerError, AnswerLimits, MAX_ANSWER_HEADERS,
     allowance::{Allowance, LimitedStream},
 };
 
@@ -52,6 +52,7 @@
         let (requests, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .max_header_size(MAX_HEAD_BYTES)
+            .max_headers(MAX_ANSWER_HEADERS)
             .handshake(TokioIo::new(stream))
             .await?;
         let sender = Self {
--- a/crates/router/src/entry/connection.rs
+++ b/crates/router/src/entry/connection.rs
@@ -16,6 +16,7 @@
 use http::{Request, Response, request::Parts};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use pool::{MAX_HEAD_BYTES, max_headers};
 use routing::Repeat;
 use tokio::{net::TcpStream, sync::watch, task::JoinHandle};
 
@@ -32,8 +33,12 @@
 /// Maximum number of pipelined requests of one connection that run early.
 const MAX_EARLY: usize = 16;
 
-/// Longest head of a request, and most bytes that are buffered unread.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Bytes that are buffered unread, and the longest head of a request, unless the configuration allows
+/// longer ones.
+const MIN_BUFFER_BYTES: usize = 64 << 10;
+
+/// Number of headers that a request may have whatever the configuration says, as in most servers.
+const MIN_HEADERS: usize = 100;
 
 /// State shared by the connection and its requests.
 struct Shared {
@@ -63,6 +68,8 @@
     let timeout = limits.map_or(DEFAULT_TIMEOUT, |it| {
         Duration::from_millis(it.idle_ms.max(it.head_ms))
     });
+    let head_bytes = limits.map_or(MIN_BUFFER_BYTES, |it| it.head_bytes);
+    let head_bytes = head_bytes.min(MAX_HEAD_BYTES);
     let ahead = ReadAhead::new(stream);
     let shared = Arc::new(Shared {
         node,
@@ -79,7 +86,8 @@
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(timeout)
-        .max_buf_size(MAX_HEAD_BYTES)
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
+        .max_headers(max_headers(head_bytes).max(MIN_HEADERS))
         .serve_connection(TokioIo::new(ahead.clone()), service);
     let mut close = pin!(async move {
         // The sender outlives the connections.
--- a/crates/router/src/entry/read_ahead.rs
+++ b/crates/router/src/entry/read_ahead.rs
@@ -14,6 +14,7 @@
 
 use bytes::{Buf, BytesMut};
 use http::{HeaderName, HeaderValue, Method, Request, Uri, header, request::Parts};
+use pool::{MAX_HEAD_BYTES, max_headers};
 use tokio::{
     io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
@@ -25,9 +26,8 @@
 /// Bytes that are read at a time.
 const READ_CHUNK_BYTES: usize = 8 * 1024;
 
-/// Maximum number of headers of a request that is parsed ahead; one with more is left to the HTTP
-/// server.
-const MAX_HEADERS: usize = 64;
+/// Number of headers of most requests; those with more need a second attempt to parse them.
+const USUAL_HEADERS: usize = 64;
 
 /// A caller's connection.
 #[derive(Clone)]
@@ -266,21 +266,31 @@
 }
 
 fn parse(bytes: &[u8]) -> Head {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut head = httparse::Request::new(&mut headers);
+    let parsed = parse_with(&mut [httparse::EMPTY_HEADER; USUAL_HEADERS], bytes);
+    parsed.unwrap_or_else(|| {
+        let headers = max_headers(bytes.len().min(MAX_HEAD_BYTES));
+        let parsed = parse_with(&mut vec![httparse::EMPTY_HEADER; headers], bytes);
+        parsed.unwrap_or(Head::Unknown)
+    })
+}
+
+/// Parses bytes as the head of a request; `None` if it has more headers than `headers`.
+fn parse_with<'a>(headers: &mut [httparse::Header<'a>], bytes: &'a [u8]) -> Option<Head> {
+    let mut head = httparse::Request::new(headers);
     let head_bytes = match head.parse(bytes) {
         Ok(httparse::Status::Complete(head_bytes)) => head_bytes,
-        Ok(httparse::Status::Partial) => return Head::Partial,
-        Err(_) => return Head::Unknown,
+        Ok(httparse::Status::Partial) => return Some(Head::Partial),
+        Err(httparse::Error::TooManyHeaders) => return None,
+        Err(_) => return Some(Head::Unknown),
     };
-    match parts_of(&head) {
+    Some(match parts_of(&head) {
         Some((parts, body_bytes)) => Head::Complete {
             head_bytes,
             body_bytes,
             parts: Box::new(parts),
         },
         None => Head::Unknown,
-    }
+    })
 }
 
 fn parts_of(head: &httparse::Request<'_, '_>) -> Option<(Parts, u64)> {
--- a/crates/router/src/gateway/forward.rs
+++ b/crates/router/src/gateway/forward.rs
@@ -8,6 +8,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use pool::MAX_HEADER_LIST_BYTES;
 use refusal::Reason;
 
 use super::{AttemptOutcome, GatewayRequest, hop};
@@ -51,6 +52,7 @@
             .timer(TokioTimer::new())
             .pool_timer(TokioTimer::new())
             .http2_only(true)
+            .http2_max_header_list_size(MAX_HEADER_LIST_BYTES)
             .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
             .http2_initial_connection_window_size(CONNECTION_WINDOW_BYTES);
         let mut connector = HttpConnector::new();
--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use pool::AnswerError;
+use pool::{AnswerError, MAX_HEADER_LIST_BYTES};
 use refusal::Reason;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -37,6 +37,7 @@
     let connection = http2::Builder::new(TokioExecutor::new())
         .timer(TokioTimer::new())
         .max_concurrent_streams(4_096)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::spawn(async move {
         if let Err(err) = connection.await {
--- a/crates/sassafrasd/src/forward.rs
+++ b/crates/sassafrasd/src/forward.rs
@@ -9,6 +9,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
+use pool::MAX_HEADER_LIST_BYTES;
 use refusal::{Ran, Reason, Refusal};
 
 use crate::{
@@ -72,6 +73,7 @@
             .timer(TokioTimer::new())
             .pool_timer(TokioTimer::new())
             .http2_only(true)
+            .http2_max_header_list_size(MAX_HEADER_LIST_BYTES)
             .http2_keep_alive_interval(PING_INTERVAL)
             .http2_keep_alive_timeout(PING_TIMEOUT)
             .http2_initial_stream_window_size(STREAM_WINDOW_BYTES)
--- a/crates/sassafrasd/src/server.rs
+++ b/crates/sassafrasd/src/server.rs
@@ -8,6 +8,7 @@
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::{conn::auto, graceful::GracefulShutdown},
 };
+use pool::MAX_HEADER_LIST_BYTES;
 use refusal::Reason;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -86,7 +87,8 @@
         .timer(TokioTimer::new())
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .max_frame_size(MAX_FRAME_BYTES)
-        .max_concurrent_streams(4_096);
+        .max_concurrent_streams(4_096)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES);
     let connection = builder
         .serve_connection(TokioIo::new(stream), service)
         .into_owned();
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -16,6 +16,9 @@
 /// Time limit for one request and its answer; longer than any deadline that the tests use.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Most headers of an answer; more than any test sends.
+const MAX_HEADERS: usize = 20_000;
+
 /// The reason why a request got no answer.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum CallError {
@@ -206,7 +209,9 @@
         let stream = TcpStream::connect(self.address).await.map_err(refused)?;
         stream.set_nodelay(true).map_err(refused)?;
         let closed = |err: hyper::Error| CallError::Closed(err.to_string());
-        let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (mut sender, connection) = http1::Builder::new()
+            .max_headers(MAX_HEADERS)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(closed)?;
         tokio::spawn(connection);
--- a/crates/testkit/src/serve.rs
+++ b/crates/testkit/src/serve.rs
@@ -65,6 +65,9 @@
     }
 }
 
+/// Most headers of a request; more than any test sends.
+const MAX_HEADERS: usize = 20_000;
+
 /// Serves one connection until either side closes it.
 pub async fn serve_connection<F, R>(stream: TcpStream, handler: F)
 where
@@ -76,6 +79,7 @@
     let _ = stream.set_nodelay(true);
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
+        .max_headers(MAX_HEADERS)
         .serve_connection(TokioIo::new(stream), service_fn(handler))
         .await;
 }
