Mark the answers of gateways, and drop forged headers of hosts

What callers saw: a 431 that the HTTP/2 library between two hosts had given passed for the answer of a target, and callers do not repeat a request after it.

Cause: an answer between hosts counted as that of a target unless it said otherwise, so answers that no gateway has made did too. A target could also send the header that marks refusals, and a caller the headers with the target, place or key of a forwarded request.

Change: a gateway marks each answer, an unmarked one has an unknown outcome (502, or another gateway if the request is idempotent), and both sides remove such headers of callers and targets.

--- a/crates/router/src/gateway/hop.rs
+++ b/crates/router/src/gateway/hop.rs
@@ -26,7 +26,11 @@
 const REFUSED: HeaderName = HeaderName::from_static("hop-refused");
 /// Milliseconds after which a refused request can be served.
 const RETRY: HeaderName = HeaderName::from_static("hop-retry");
+/// Whether the request ran. Each answer of a gateway has it, so that an answer which the HTTP/2 library
+/// gives by itself does not pass for that of a target.
 const RAN: HeaderName = HeaderName::from_static("hop-ran");
+/// Value of [`RAN`] in the answer of a target.
+const ANSWERED: HeaderValue = HeaderValue::from_static("answered");
 /// Start time and name of the target that answered, if it is about to stop.
 const LEAVING: HeaderName = HeaderName::from_static("hop-leaving");
 
@@ -43,6 +47,9 @@
         .build()
         .expect("an address and a parsed path form a valid URI");
     let mut headers = gateway_request.headers.clone();
+    for name in [TARGET, PLACE, KEY, WAIT_LIMIT, HOST] {
+        headers.remove(name);
+    }
     if let Some(host) = headers.remove(header::HOST) {
         headers.insert(HOST, host);
     }
@@ -142,7 +149,10 @@
         AttemptOutcome::Answered(mut response) => {
             let leaving = response.extensions_mut().remove::<LeavingTarget>();
             let headers = response.headers_mut();
-            headers.remove(LEAVING);
+            for name in [REFUSED, RETRY, LEAVING] {
+                headers.remove(name);
+            }
+            headers.insert(RAN, ANSWERED);
             if let Some(LeavingTarget(it)) = leaving {
                 let text = format!("{} {}", it.started_ms, it.target);
                 match HeaderValue::from_str(&text) {
@@ -175,6 +185,10 @@
 pub(super) fn outcome_of(response: Response<Bytes>) -> AttemptOutcome {
     let (mut parts, body) = response.into_parts();
     let Some(reason) = refused(&parts.headers) else {
+        if parts.headers.remove(RAN) != Some(ANSWERED) {
+            log::warn!(status = parts.status.as_u16(); "an answer between hosts is not of a gateway");
+            return AttemptOutcome::Unknown(Reason::GatewayLost);
+        }
         let leaving = parts.headers.remove(LEAVING);
         if let Some(it) = leaving.as_ref().and_then(incarnation_of) {
             parts.extensions.insert(LeavingTarget(it));
--- a/crates/router/src/gateway/hop/tests.rs
+++ b/crates/router/src/gateway/hop/tests.rs
@@ -28,6 +28,64 @@
     }
 }
 
+/// Guards against an answer of the HTTP/2 library, or a header of a target, that passes for an answer
+/// or a refusal of a gateway.
+#[test]
+fn only_marked_answers_are_of_a_target() {
+    struct Case {
+        name: &'static str,
+        /// Whether a gateway encoded the answer.
+        encoded: bool,
+        forged: Option<HeaderName>,
+        answered: bool,
+    }
+    let cases = [
+        Case {
+            name: "an answer of a target",
+            encoded: true,
+            forged: None,
+            answered: true,
+        },
+        Case {
+            name: "a target that claims to be a gateway",
+            encoded: true,
+            forged: Some(REFUSED),
+            answered: true,
+        },
+        Case {
+            name: "an answer of the library",
+            encoded: false,
+            forged: None,
+            answered: false,
+        },
+        Case {
+            name: "a mark with another value",
+            encoded: false,
+            forged: Some(RAN),
+            answered: false,
+        },
+    ];
+    for case in cases {
+        let mut answer = Response::new(Full::default());
+        *answer.status_mut() = http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+        if let Some(name) = case.forged {
+            let value = HeaderValue::from_static("no");
+            answer.headers_mut().insert(name, value);
+        }
+        if case.encoded {
+            answer = response_of(AttemptOutcome::Answered(answer));
+        }
+        let (parts, _) = answer.into_parts();
+        let outcome = outcome_of(Response::from_parts(parts, Bytes::new()));
+        let answered = match &outcome {
+            AttemptOutcome::Answered(answer) => answer.headers().is_empty(),
+            AttemptOutcome::Unknown(Reason::GatewayLost) => false,
+            _ => panic!("{}: {outcome:?}", case.name),
+        };
+        assert_eq!(answered, case.answered, "{}: {outcome:?}", case.name);
+    }
+}
+
 /// Guards against a forwarded request that counts as new at its gateway.
 #[test]
 fn a_forwarded_request_keeps_its_age() {
