Count the crashes of a request across coordinators

What callers saw: a request that crashes each target which runs it crashed twelve targets while the leading router was killed every seven seconds; it should be stopped after three.

Cause: the crashes so far were in the memory of one coordinator. Its successor, or the same host after a restart, began with none, and hosts report each crash once.

Change: the coordinator keeps the crashes in a row of the store, written with the lease, and the next one reads it with the owners of keys and announces again the requests that are in quarantine. A host keeps the crashes that it has reported for a minute and reports them again to the coordinator of another term, since the last ones may not be written yet.

--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -7,7 +7,7 @@
 use super::{
     lease::{Lease, LeaseView},
     loads,
-    tenure::Tenure,
+    tenure::{Crashes, Tenure},
 };
 use crate::{
     node::Node,
@@ -123,7 +123,9 @@
     };
     log::info!(term = lease.row.term; "this host coordinates");
     let rows = slice_rows(&own);
-    Tenure::new(Arc::clone(node), lease, rows).run().await;
+    let crashes = Crashes::restore(&own, &lease.clock, node.clock.now());
+    let tenure = Tenure::new(Arc::clone(node), lease, rows).with_crashes(crashes);
+    tenure.run().await;
     log::info!("this host no longer coordinates");
 }
 
@@ -259,7 +261,7 @@
         catalog: node.catalog.announced(),
         span_ms,
         loads,
-        crashes: node.poison_requests.take_crashes(),
+        crashes: node.poison_requests.take_crashes(node.clock.now()),
         leaving: node.targets().leaving().cloned().collect(),
         store: store_reachable,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -14,9 +14,9 @@
 };
 use tokio::{sync::mpsc, task::JoinSet};
 
+pub use self::crashes::Crashes;
 use self::{
     commit::{FinishedWrite, LeaseWrite},
-    crashes::Crashes,
     host_registry::HostRegistry,
     lost_rows::LostRows,
 };
@@ -170,6 +170,12 @@
         }
     }
 
+    /// Sets the crashes of requests that earlier coordinators have recorded.
+    #[must_use]
+    pub fn with_crashes(self, crashes: Crashes) -> Self {
+        Self { crashes, ..self }
+    }
+
     /// Coordinates until the lease is lost or the host is asked to stop.
     pub async fn run(mut self) {
         let (inbox, mut reports) = mpsc::unbounded_channel();
@@ -202,7 +208,8 @@
                 log::warn!("another host can reach the store; this one resigns");
                 break;
             }
-            let urgent = self.services.values().any(|it| it.manager.needs_commit());
+            let urgent = self.services.values().any(|it| it.manager.needs_commit())
+                || self.crashes.needs_commit();
             if now >= self.write_at && (urgent || now >= self.renew_at) {
                 self.commit();
             }
@@ -241,6 +248,9 @@
         for row in &self.rows {
             events.push(Event::Slice(Arc::clone(&row.service), row.slice()));
         }
+        let now = self.node.clock.now();
+        events.extend(self.crashes.quarantined(now).map(Event::Poison));
+        self.node.poison_requests.report_again(now);
         self.node.announce(events);
         self.node.feed_changed.notify_waiters();
     }
@@ -333,7 +343,7 @@
     fn record_own_loads(&mut self, now: Millis) {
         let (_, loads) = loads::collect(&self.node);
         self.record_loads(&loads, now);
-        let crashes = self.node.poison_requests.take_crashes();
+        let crashes = self.node.poison_requests.take_crashes(now);
         self.quarantine_requests(crashes, now);
     }
 
--- a/crates/router/src/control/tenure/commit.rs
+++ b/crates/router/src/control/tenure/commit.rs
@@ -5,7 +5,7 @@
 use coordinator::{LeaseRow, Millis, SliceRow, StoreClock};
 use routing::Ownership;
 
-use super::{Completion, RENEW_INTERVAL_MS, Tenure};
+use super::{Completion, Crashes, RENEW_INTERVAL_MS, Tenure};
 use crate::{
     control::lease::{LEASE_MS, encode},
     ports::{CommitResult, OwnRows, Revision, Transaction},
@@ -35,6 +35,8 @@
 pub(super) struct LeaseWrite {
     row: LeaseRow,
     batches: Vec<Batch>,
+    /// Version of the crashes in their row, if it is part of the write.
+    crashes: Option<u64>,
 }
 
 /// A write that has completed, with its result.
@@ -97,6 +99,7 @@
         };
         let mut batches = Vec::new();
         let mut rows_left = MAX_ROWS;
+        let crashes = self.crashes.needs_commit().then(|| self.crashes.version());
         for (service, keyed) in &self.services {
             let (puts, removes) = keyed.manager.rows_to_write(rows_left);
             rows_left -= puts.len() + removes.len();
@@ -120,7 +123,17 @@
             transaction.puts.extend(values);
             transaction.removes.extend(batch.removes.iter().cloned());
         }
-        (LeaseWrite { row, batches }, transaction)
+        if crashes.is_some() {
+            let now = self.node.clock.now();
+            let value = self.crashes.encode(&self.lease.clock, now);
+            transaction.puts.push((Crashes::ROW.to_owned(), value));
+        }
+        let write = LeaseWrite {
+            row,
+            batches,
+            crashes,
+        };
+        (write, transaction)
     }
 
     /// Whether the owners of all services with keys are recovered.
@@ -194,7 +207,14 @@
 
     /// Handles a write that the store has applied: this host holds the lease.
     fn on_applied(&mut self, write: LeaseWrite, rev: Revision, sent: Millis) {
-        let LeaseWrite { row, batches } = write;
+        let LeaseWrite {
+            row,
+            batches,
+            crashes,
+        } = write;
+        if let Some(version) = crashes {
+            self.crashes.on_commit(version);
+        }
         self.lease.until = self.lease.clock.local_expiry(row.until);
         self.lease.rev = rev;
         self.lease.row = row;
--- a/crates/router/src/gateway/poison.rs
+++ b/crates/router/src/gateway/poison.rs
@@ -19,19 +19,26 @@
 /// Maximum number of requests that are quarantined at a time.
 const MAX_QUARANTINED: usize = 1_024;
 
-/// Maximum number of crashes that are kept until they can be reported.
+/// Maximum number of crashes that are kept until they can be reported, or reported again.
 const MAX_UNREPORTED: usize = 256;
 
+/// How long a reported crash is kept for another coordinator, in milliseconds. The coordinator
+/// counts crashes within this time.
+const KEEP_REPORTED_MS: Millis = 60_000;
+
 /// Longest wait for the connection that shows whether a target still listens.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Requests that crash targets: the quarantined ones, and the crashes that this host observed and
-/// has not reported yet.
+/// Requests that crash targets: the quarantined ones, and the crashes that this host observed.
+///
+/// `unreported` and `reported` are never locked together.
 #[derive(Default)]
 pub struct PoisonRequests {
     /// End of the quarantine by fingerprint of the request.
     quarantined_until: Mutex<BTreeMap<u64, Millis>>,
     unreported: Mutex<Vec<Crash>>,
+    /// Crashes that were reported to the present coordinator, with the time of the report.
+    reported: Mutex<Vec<(Crash, Millis)>>,
 }
 
 impl PoisonRequests {
@@ -64,9 +71,28 @@
         held.map(|it| *it.0).collect()
     }
 
-    /// Takes the crashes that are to be reported.
-    pub fn take_crashes(&self) -> Vec<Crash> {
-        std::mem::take(&mut *self.unreported())
+    /// Takes the crashes that are to be reported at `now`.
+    pub fn take_crashes(&self, now: Millis) -> Vec<Crash> {
+        let crashes = std::mem::take(&mut *self.unreported());
+        let mut reported = self.reported();
+        reported.retain(|it| now < it.1 + KEEP_REPORTED_MS);
+        reported.extend(crashes.iter().map(|it| (it.clone(), now)));
+        let excess = reported.len().saturating_sub(MAX_UNREPORTED);
+        reported.drain(..excess);
+        crashes
+    }
+
+    /// Prepares to report to another coordinator, which may not know the crashes that were reported
+    /// before; returns whether there are any. A crash that is reported twice counts once.
+    pub fn report_again(&self, now: Millis) -> bool {
+        let reported = std::mem::take(&mut *self.reported());
+        let recent = reported
+            .into_iter()
+            .filter(|it| now < it.1 + KEEP_REPORTED_MS);
+        let crashes: Vec<Crash> = recent.map(|it| it.0).collect();
+        let found = !crashes.is_empty();
+        self.add_crashes(crashes);
+        found
     }
 
     /// Adds crashes that are to be reported.
@@ -80,6 +106,10 @@
         self.quarantined_until.lock().expect("lock is not poisoned")
     }
 
+    fn reported(&self) -> MutexGuard<'_, Vec<(Crash, Millis)>> {
+        self.reported.lock().expect("lock is not poisoned")
+    }
+
     fn unreported(&self) -> MutexGuard<'_, Vec<Crash>> {
         self.unreported.lock().expect("lock is not poisoned")
     }
@@ -122,3 +152,6 @@
         &request.body,
     )
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -389,6 +389,13 @@
         let synced_at = sent.saturating_sub(reply.age_ms);
         self.set_synced_at(synced_at);
         self.store_contact().on_sync(synced_at, self.clock.now());
+        let new_term = reply.position.term != self.feed().position().term;
+        if reply.is_from_coordinator()
+            && new_term
+            && self.poison_requests.report_again(self.clock.now())
+        {
+            self.report_soon.notify_one();
+        }
         let mut changed = false;
         for event in &reply.events {
             changed |= self.apply(event);
