Tell other hosts which targets are left after a change of coordinators

Cause: a target that leaves while no host coordinates is in no event. A new coordinator that has just started never knew it, so it announces no removal, and hosts that are not stale read no list themselves.

Change: the result of each complete read is an event with the names of all targets and the revision, which is part of the full state too. Each host drops what it lacks, unless the targets may register again as far as this host knows; then it reads the list itself after that time.

--- a/crates/router/src/control/catch_up.rs
+++ b/crates/router/src/control/catch_up.rs
@@ -38,6 +38,9 @@
         let read_again = tokio::time::Instant::now() + READ_INTERVAL;
         tokio::time::sleep(MIN_READ_INTERVAL).await;
         let refresh = tokio::time::timeout_at(read_again, node.refresh_soon.notified()).await;
+        if node.must_list_targets() && node.coordinator().is_some() {
+            read_target_changes(&node).await;
+        }
         let stale = node.age_ms() >= STALE_MS;
         if !stale && refresh.is_err() && node.coordinator().is_some() {
             continue;
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -161,9 +161,7 @@
 /// of their revisions, so that nothing earlier is missing.
 pub async fn read_target_changes(node: &Node) -> bool {
     let known = node.targets().latest_rev();
-    let must_read_all =
-        node.targets().removals_left_out() && node.clock.now() >= node.targets_complete_at();
-    let Some(rev) = known.filter(|_| !must_read_all) else {
+    let Some(rev) = known.filter(|_| !node.must_list_targets()) else {
         return read_once(node, Topic::Targets).await;
     };
     match node.store.watch(Topic::Targets, rev, NO_WAIT).await {
@@ -185,14 +183,15 @@
     node.on_generation(read.rev.generation);
     let complete_at = node.targets_complete_at();
     let may_return = node.clock.now() < complete_at;
-    let mut left_out = false;
+    let mut read_again = false;
     let mut events = Vec::new();
     let mut names = Vec::new();
     for record in read.records {
         match record.update {
             Update::Catalog(catalog) => node.adopt_catalog(catalog, CatalogSource::Store),
             Update::Target(name, None) if may_return && node.targets().get(&name).is_some() => {
-                left_out = true;
+                node.leave_out_removals();
+                read_again = true;
             }
             Update::Target(name, entry) => {
                 names.push(Arc::clone(&name));
@@ -200,19 +199,11 @@
             }
         }
     }
-    if topic == Topic::Catalog {
-        return None;
-    }
-    if complete {
-        let missing = node.targets().missing_from(&names, read.rev);
-        left_out |= may_return && !missing.is_empty();
-        for name in missing.into_iter().filter(|_| !may_return) {
-            events.push(Event::Target(name, read.rev, None));
-        }
+    if complete && topic == Topic::Targets {
+        // Other hosts may know targets that left while there was no coordinator.
+        events.push(Event::Listed(names, read.rev));
+        read_again |= may_return;
     }
     node.announce(events);
-    if complete || left_out {
-        node.set_removals_left_out(left_out);
-    }
-    left_out.then_some(complete_at)
+    read_again.then_some(complete_at)
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -26,7 +26,7 @@
     grace_period::GracePeriod,
     observe::{LineKind, LogLimiter, Metrics, ObservedStore},
     peers::{Event, Feed, HostInfo, Hosts, Position, Report, ReportReply},
-    ports::{ProtocolProfile, Store, TargetApi},
+    ports::{ProtocolProfile, Revision, Store, TargetApi},
     run::Ports,
     settings::Settings,
     state::{Catalogs, StoreContact, Targets},
@@ -508,9 +508,15 @@
         restored.max(self.store_contact().complete_at())
     }
 
-    /// Records whether removals of targets were left out because the targets may register again.
-    pub fn set_removals_left_out(&self, left_out: bool) {
-        self.targets_mut().set_removals_left_out(left_out);
+    /// Records that removals of targets were left out because the targets may register again.
+    pub fn leave_out_removals(&self) {
+        self.targets_mut().set_removals_left_out(true);
+    }
+
+    /// Whether the list of targets is to be read again, since removals were left out and the targets
+    /// have had the time to register again.
+    pub fn must_list_targets(&self) -> bool {
+        self.targets().removals_left_out() && self.clock.now() >= self.targets_complete_at()
     }
 
     /// The full state of this host as events.
@@ -519,6 +525,7 @@
         for (name, rev, entry) in self.targets().revisions() {
             events.push(Event::Target(name, rev, entry));
         }
+        events.extend(self.targets().list().map(|it| Event::Listed(it.0, it.1)));
         let leaving: Vec<_> = self.targets().leaving().cloned().collect();
         events.extend(leaving.into_iter().map(Event::Leaving));
         for (service, table) in &*self.tables() {
@@ -548,6 +555,10 @@
                 }
                 changed
             }
+            Event::Listed(names, rev) => {
+                self.apply_list(names, *rev);
+                true
+            }
             Event::Leaving(incarnation) => self.learn_leaving(incarnation, LeavingSource::Host),
             Event::Slice(service, slice) => {
                 let mut tables = self.tables.write().expect("lock is not poisoned");
@@ -563,6 +574,21 @@
         }
     }
 
+    /// Drops the targets that are missing from a complete list as of `rev`, which hosts that have just
+    /// started cannot name. Targets that may register again are kept.
+    fn apply_list(&self, names: &[Arc<str>], rev: Revision) {
+        let missing = self.targets().missing_from(names, rev);
+        let may_return = self.clock.now() < self.targets_complete_at();
+        {
+            let mut targets = self.targets_mut();
+            targets.set_listed(rev);
+            targets.set_removals_left_out(may_return && !missing.is_empty());
+        }
+        for name in missing.into_iter().filter(|_| !may_return) {
+            self.apply(&Event::Target(name, rev, None));
+        }
+    }
+
     /// Records that a target is about to stop; returns whether this is new.
     fn learn_leaving(&self, incarnation: &Incarnation, from: LeavingSource) -> bool {
         let now = self.clock.now();
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use tokio::sync::mpsc;
 
 use super::*;
@@ -64,6 +66,35 @@
     assert!(follower.targets().get("d").is_some());
 }
 
+/// Guards against a host that goes on using a target which left while there was no coordinator,
+/// because the next one has just started and never knew it.
+#[test]
+fn a_new_coordinator_tells_which_targets_are_left() {
+    let restarted = node("h1", 7_000);
+    restarted.feed().restart(Position { term: 4, number: 0 });
+    let (inbox, _) = mpsc::unbounded_channel();
+    restarted.set_inbox(Some(inbox));
+    restarted.set_coordinator(Some(restarted.settings.peer));
+    let rev = Revision {
+        generation: 0,
+        number: 9,
+    };
+    restarted.announce(vec![target("b", 2), Event::Listed(vec!["b".into()], rev)]);
+    let follower = node("h2", 7_100);
+    follower.announce(vec![target("a", 1), target("b", 2)]);
+    // The store may have been away just before the first contact.
+    sync(&restarted, &follower);
+    assert!(follower.targets().get("a").is_some());
+    assert!(follower.targets().removals_left_out());
+    std::thread::sleep(Duration::from_millis(follower.targets_complete_at()));
+    assert!(follower.must_list_targets());
+    restarted.announce(vec![Event::Listed(vec!["b".into()], rev)]);
+    sync(&restarted, &follower);
+    assert!(!follower.must_list_targets());
+    assert!(follower.targets().get("a").is_none());
+    assert!(follower.targets().get("b").is_some());
+}
+
 /// Guards against a host that does not pass on what it has read from the store itself.
 #[test]
 fn hosts_pass_on_what_they_read_themselves() {
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -16,6 +16,8 @@
 pub enum Event {
     /// A target as of a revision of the store; `None` if it is gone.
     Target(Arc<str>, Revision, Option<TargetEntry>),
+    /// The names of all registered targets as of a revision of the store.
+    Listed(Vec<Arc<str>>, Revision),
     /// An incarnation that has said in an answer that it is about to stop.
     Leaving(Incarnation),
     /// A slice of a service.
--- a/crates/router/src/state/store_contact.rs
+++ b/crates/router/src/state/store_contact.rs
@@ -27,15 +27,8 @@
 impl StoreContact {
     /// Records that the store answered a call of this host.
     pub fn on_answer(&mut self, now: Millis) {
-        let returned = match self.answered_at {
-            None => true,
-            Some(at) => self.failed && now >= at + MIN_OUTAGE_MS,
-        };
-        if returned {
-            self.returned_at = Some(now);
-        }
+        self.on_sync(now, now);
         self.failed = false;
-        self.answered_at = self.answered_at.max(Some(now));
     }
 
     /// Records that a call of this host failed.
@@ -46,7 +39,11 @@
     /// Records that another host's state, which this host received at `now`, was in sync with the
     /// store at `at`.
     pub fn on_sync(&mut self, at: Millis, now: Millis) {
-        if self.answered_at.is_none() {
+        let returned = match self.answered_at {
+            None => true,
+            Some(before) => self.failed && at >= before + MIN_OUTAGE_MS,
+        };
+        if returned {
             self.returned_at = Some(now);
         }
         self.answered_at = self.answered_at.max(Some(at));
--- a/crates/router/src/state/store_contact/tests.rs
+++ b/crates/router/src/state/store_contact/tests.rs
@@ -1,3 +1,5 @@
+use Step::{Answer, Failure, Sync};
+
 use super::*;
 
 /// What a host observes.
@@ -9,95 +11,108 @@
     Sync(Millis),
 }
 
+struct Case {
+    name: &'static str,
+    steps: &'static [(Millis, Step)],
+    complete_at: Millis,
+}
+
+const CASES: [Case; 12] = [
+    Case {
+        name: "no contact",
+        steps: &[(100, Failure)],
+        complete_at: 0,
+    },
+    Case {
+        name: "first contact",
+        steps: &[(100, Answer), (900, Answer)],
+        complete_at: 2_100,
+    },
+    Case {
+        name: "first contact after failures",
+        steps: &[(100, Failure), (700, Answer), (900, Answer)],
+        complete_at: 2_700,
+    },
+    Case {
+        name: "first contact through another host",
+        steps: &[(100, Sync(40)), (900, Answer)],
+        complete_at: 2_100,
+    },
+    Case {
+        name: "an outage",
+        steps: &[(100, Answer), (700, Failure), (5_000, Answer)],
+        complete_at: 7_000,
+    },
+    Case {
+        name: "an outage noticed at its end",
+        steps: &[(100, Answer), (4_900, Failure), (5_000, Answer)],
+        complete_at: 7_000,
+    },
+    Case {
+        name: "one failed call",
+        steps: &[
+            (100, Answer),
+            (5_000, Answer),
+            (5_300, Failure),
+            (5_500, Answer),
+        ],
+        complete_at: 2_100,
+    },
+    Case {
+        name: "no calls for a while",
+        steps: &[(100, Answer), (9_000, Answer)],
+        complete_at: 2_100,
+    },
+    Case {
+        name: "only this host could not reach the store",
+        steps: &[
+            (100, Answer),
+            (700, Failure),
+            (1_700, Sync(300)),
+            (3_200, Sync(300)),
+            (4_900, Sync(300)),
+            (5_000, Answer),
+        ],
+        complete_at: 2_100,
+    },
+    Case {
+        name: "another host tells of the return",
+        steps: &[
+            (100, Answer),
+            (700, Failure),
+            (4_900, Sync(300)),
+            (5_000, Answer),
+        ],
+        complete_at: 6_900,
+    },
+    Case {
+        name: "other hosts know nothing newer",
+        steps: &[
+            (100, Answer),
+            (700, Failure),
+            (4_900, Sync(4_300)),
+            (5_000, Answer),
+        ],
+        complete_at: 7_000,
+    },
+    Case {
+        name: "two outages",
+        steps: &[
+            (100, Answer),
+            (700, Failure),
+            (5_000, Answer),
+            (5_500, Failure),
+            (8_000, Answer),
+        ],
+        complete_at: 10_000,
+    },
+];
+
 /// Guards against targets that count as gone because their entries expired during an outage, and
 /// against keeping targets that left because a single call failed.
 #[test]
 fn the_list_is_complete_some_time_after_an_outage() {
-    use Step::{Answer, Failure, Sync};
-    struct Case {
-        name: &'static str,
-        steps: &'static [(Millis, Step)],
-        complete_at: Millis,
-    }
-    let cases = [
-        Case {
-            name: "no contact",
-            steps: &[(100, Failure)],
-            complete_at: 0,
-        },
-        Case {
-            name: "first contact",
-            steps: &[(100, Answer), (900, Answer)],
-            complete_at: 2_100,
-        },
-        Case {
-            name: "first contact after failures",
-            steps: &[(100, Failure), (700, Answer), (900, Answer)],
-            complete_at: 2_700,
-        },
-        Case {
-            name: "first contact through another host",
-            steps: &[(100, Sync(40)), (900, Answer)],
-            complete_at: 2_100,
-        },
-        Case {
-            name: "an outage",
-            steps: &[(100, Answer), (700, Failure), (5_000, Answer)],
-            complete_at: 7_000,
-        },
-        Case {
-            name: "an outage noticed at its end",
-            steps: &[(100, Answer), (4_900, Failure), (5_000, Answer)],
-            complete_at: 7_000,
-        },
-        Case {
-            name: "one failed call",
-            steps: &[
-                (100, Answer),
-                (5_000, Answer),
-                (5_300, Failure),
-                (5_500, Answer),
-            ],
-            complete_at: 2_100,
-        },
-        Case {
-            name: "no calls for a while",
-            steps: &[(100, Answer), (9_000, Answer)],
-            complete_at: 2_100,
-        },
-        Case {
-            name: "only this host could not reach the store",
-            steps: &[
-                (100, Answer),
-                (700, Failure),
-                (4_900, Sync(300)),
-                (5_000, Answer),
-            ],
-            complete_at: 2_100,
-        },
-        Case {
-            name: "other hosts know nothing newer",
-            steps: &[
-                (100, Answer),
-                (700, Failure),
-                (4_900, Sync(4_300)),
-                (5_000, Answer),
-            ],
-            complete_at: 7_000,
-        },
-        Case {
-            name: "two outages",
-            steps: &[
-                (100, Answer),
-                (700, Failure),
-                (5_000, Answer),
-                (5_500, Failure),
-                (8_000, Answer),
-            ],
-            complete_at: 10_000,
-        },
-    ];
-    for case in cases {
+    for case in CASES {
         let mut contact = StoreContact::default();
         for (now, step) in case.steps {
             match step {
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -26,6 +26,8 @@
     departures: Departures,
     version: u64,
     generations: Option<Generations>,
+    /// Revision of the latest complete list; `None` before the first one.
+    listed: Option<Revision>,
     /// Whether removals were left out because the targets may register again.
     removals_left_out: bool,
 }
@@ -169,6 +171,19 @@
         departed.map(|(name, _)| name)
     }
 
+    /// Records that a complete list as of `rev` is known.
+    pub fn set_listed(&mut self, rev: Revision) {
+        self.listed = self.listed.max(Some(rev));
+    }
+
+    /// Returns the names of the registered targets, and the revision as of which these are all;
+    /// `None` before the first complete list.
+    #[must_use]
+    pub fn list(&self) -> Option<(Vec<Arc<str>>, Revision)> {
+        let names = self.registered().map(|it| Arc::clone(it.0)).collect();
+        Some((names, self.listed?))
+    }
+
     /// Records whether removals were left out because the targets may register again.
     pub fn set_removals_left_out(&mut self, left_out: bool) {
         self.removals_left_out = left_out;
