Notice outages of the store that other hosts end first

Cause: a host counted the return of the store as the end of an outage only after two seconds without an answer. A watch that was open before the outage was still answered a second into it, and another host told of the return before this one had reached the store, so that 1.95 s were left.

Change: 1.5 s. The state of a host is not that old while the store answers.

--- a/crates/router/src/state/store_contact.rs
+++ b/crates/router/src/state/store_contact.rs
@@ -2,9 +2,10 @@
 
 use coordinator::Millis;
 
-/// Shortest outage in which entries of running targets can expire. It exceeds the time for which
-/// the state of a host may be outdated while the store answers.
-const MIN_OUTAGE_MS: Millis = 2_000;
+/// Shortest time without an answer that counts as an outage. It exceeds the time for which the state
+/// of a host may be outdated while the store answers, and is a second less than the shortest outage
+/// in which entries expire, because a watch that was open before may still be answered.
+const MIN_OUTAGE_MS: Millis = 1_500;
 
 /// Time after the return of the store within which the running targets have registered again.
 pub(super) const REGISTER_AGAIN_MS: Millis = 2_000;
--- a/crates/router/src/state/store_contact/tests.rs
+++ b/crates/router/src/state/store_contact/tests.rs
@@ -17,7 +17,7 @@
     complete_at: Millis,
 }
 
-const CASES: [Case; 12] = [
+const CASES: [Case; 13] = [
     Case {
         name: "no contact",
         steps: &[(100, Failure)],
@@ -69,8 +69,8 @@
             (100, Answer),
             (700, Failure),
             (1_700, Sync(300)),
-            (3_200, Sync(300)),
-            (4_900, Sync(300)),
+            (3_100, Sync(300)),
+            (4_500, Sync(300)),
             (5_000, Answer),
         ],
         complete_at: 2_100,
@@ -95,6 +95,17 @@
         ],
         complete_at: 7_000,
     },
+    Case {
+        name: "an open watch is answered late, and another host is back first",
+        steps: &[
+            (100, Answer),
+            (1_200, Sync(150)),
+            (2_000, Failure),
+            (3_000, Sync(300)),
+            (3_700, Answer),
+        ],
+        complete_at: 5_000,
+    },
     Case {
         name: "two outages",
         steps: &[
