Record from where, and how late, a host hears that a target leaves

"a target changed" now has `from` (store or host) and `unheard_ms`, the time since this host's state was in sync: the longest time that may have passed since the store accepted the change. The histogram departure_news_ms has the same for targets that leave, by `from`.

--- a/crates/router/src/control/configuration.rs
+++ b/crates/router/src/control/configuration.rs
@@ -10,7 +10,7 @@
 
 use super::watch::read_catalog_changes;
 use crate::{
-    node::{CatalogSource, MAX_CATALOG_AGE_MS, Node},
+    node::{MAX_CATALOG_AGE_MS, NewsSource, Node},
     peers::{CatalogQuery, HostInfo, PeerClient},
 };
 
@@ -161,7 +161,7 @@
     };
     if let Some(update) = answer.update {
         let catalog = node.catalog.resolve(update)?;
-        node.adopt_catalog(catalog, CatalogSource::Host);
+        node.adopt_catalog(catalog, NewsSource::Host);
     }
     if let Some(mark) = answer.mark {
         // The answer may have been on its way for long, but the host has known this since the call.
--- a/crates/router/src/control/configuration/tests.rs
+++ b/crates/router/src/control/configuration/tests.rs
@@ -42,7 +42,7 @@
 async fn only_the_store_tells_that_a_version_is_the_newest() {
     let (own, other) = (node("h1", 7_610), node("h2", 7_620));
     for it in [&own, &other] {
-        it.adopt_catalog(catalog(4), CatalogSource::Store);
+        it.adopt_catalog(catalog(4), NewsSource::Store);
     }
     tokio::time::sleep(Duration::from_millis(50)).await;
     let confirmed = other.clock.now();
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -8,7 +8,7 @@
 use coordinator::Millis;
 
 use crate::{
-    node::{CatalogSource, Node},
+    node::{NewsSource, Node},
     peers::Event,
     ports::{Read, Revision, StoreError, Topic, Update},
     state::CatalogMark,
@@ -188,7 +188,7 @@
     let mut names = Vec::new();
     for record in read.records {
         match record.update {
-            Update::Catalog(catalog) => node.adopt_catalog(catalog, CatalogSource::Store),
+            Update::Catalog(catalog) => node.adopt_catalog(catalog, NewsSource::Store),
             Update::Target(name, None) if may_return && node.targets().get(&name).is_some() => {
                 node.leave_out_removals();
                 read_again = true;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -29,7 +29,7 @@
     ports::{ProtocolProfile, Revision, Store, TargetApi},
     run::Ports,
     settings::Settings,
-    state::{Catalogs, StoreContact, Targets},
+    state::{Catalogs, StoreContact, TargetEntry, TargetState, Targets},
 };
 
 /// Slices by service.
@@ -58,9 +58,9 @@
     Usual,
 }
 
-/// Where a version of the configuration was received from.
+/// Where this host received news from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum CatalogSource {
+pub enum NewsSource {
     /// Another host.
     Host,
     /// The store.
@@ -88,7 +88,7 @@
     }
 }
 
-impl CatalogSource {
+impl NewsSource {
     fn label(self) -> &'static str {
         match self {
             Self::Host => "host",
@@ -304,7 +304,7 @@
 
     /// Puts a version of the configuration in force if it is newer than the current one, and tells
     /// other hosts.
-    pub fn adopt_catalog(&self, catalog: Arc<Catalog>, from: CatalogSource) {
+    pub fn adopt_catalog(&self, catalog: Arc<Catalog>, from: NewsSource) {
         let version = catalog.version();
         let newer = self.catalog.adopt(catalog);
         self.metrics.configuration(from.label(), newer);
@@ -361,7 +361,7 @@
         let coordinates = self.is_coordinator();
         let mut changed = false;
         for event in events {
-            if !self.apply(&event) {
+            if !self.apply(&event, NewsSource::Store) {
                 continue;
             }
             changed = true;
@@ -398,7 +398,7 @@
         }
         let mut changed = false;
         for event in &reply.events {
-            changed |= self.apply(event);
+            changed |= self.apply(event, NewsSource::Host);
         }
         {
             let mut feed = self.feed();
@@ -540,23 +540,18 @@
     }
 
     /// Applies one event; returns whether it changed the state.
-    fn apply(&self, event: &Event) -> bool {
+    fn apply(&self, event: &Event, from: NewsSource) -> bool {
         match event {
             Event::Target(name, rev, entry) => {
                 let now = self.clock.now();
                 let changed = self.targets_mut().apply(name, *rev, entry.clone(), now);
-                if changed && let Some(left_out) = self.may_log(LineKind::StateChange) {
-                    let state = entry.as_ref().map(|it| it.state);
-                    let address = entry.as_ref().map(|it| it.address);
-                    log::info!(
-                        target_name = &**name, rev:%, state:?, address:?, left_out;
-                        "a target changed"
-                    );
+                if changed {
+                    self.observe_change(name, *rev, entry.as_ref(), from);
                 }
                 changed
             }
             Event::Listed(names, rev) => {
-                self.apply_list(names, *rev);
+                self.apply_list(names, *rev, from);
                 true
             }
             Event::Leaving(incarnation) => self.learn_leaving(incarnation, LeavingSource::Host),
@@ -574,9 +569,33 @@
         }
     }
 
+    /// Logs the change of a target. If it leaves, records how long ago the store may have accepted
+    /// that.
+    fn observe_change(
+        &self,
+        name: &str,
+        rev: Revision,
+        entry: Option<&TargetEntry>,
+        from: NewsSource,
+    ) {
+        let unheard_ms = self.age_ms();
+        let state = entry.map(|it| it.state);
+        if matches!(state, None | Some(TargetState::Draining)) {
+            self.metrics.departure_news(from.label(), unheard_ms);
+        }
+        if let Some(left_out) = self.may_log(LineKind::StateChange) {
+            let address = entry.map(|it| it.address);
+            log::info!(
+                target_name = name, rev:%, state:?, address:?, from = from.label(), unheard_ms,
+                left_out;
+                "a target changed"
+            );
+        }
+    }
+
     /// Drops the targets that are missing from a complete list as of `rev`, which hosts that have just
     /// started cannot name. Targets that may register again are kept.
-    fn apply_list(&self, names: &[Arc<str>], rev: Revision) {
+    fn apply_list(&self, names: &[Arc<str>], rev: Revision, from: NewsSource) {
         let missing = self.targets().missing_from(names, rev);
         let may_return = self.clock.now() < self.targets_complete_at();
         {
@@ -585,7 +604,7 @@
             targets.set_removals_left_out(may_return && !missing.is_empty());
         }
         for name in missing.into_iter().filter(|_| !may_return) {
-            self.apply(&Event::Target(name, rev, None));
+            self.apply(&Event::Target(name, rev, None), from);
         }
     }
 
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -152,7 +152,7 @@
         news: News,
     }
     let (coordinator, _) = pair();
-    coordinator.adopt_catalog(catalog(4), CatalogSource::Store);
+    coordinator.adopt_catalog(catalog(4), NewsSource::Store);
     coordinator.announce(vec![target("b", 2), target("c", 3)]);
     let now = coordinator.feed().position();
     let earlier = Position { number: 1, ..now };
@@ -182,7 +182,7 @@
 #[test]
 fn replies_name_the_version_of_the_configuration() {
     let (coordinator, follower) = pair();
-    coordinator.adopt_catalog(catalog(4), CatalogSource::Store);
+    coordinator.adopt_catalog(catalog(4), NewsSource::Store);
     assert_eq!(sync(&coordinator, &follower), 0);
     assert_eq!(follower.catalog.announced(), Some(4));
     assert_eq!(follower.catalog.version(), None);
--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -52,6 +52,7 @@
     former_holds: Counter<u64>,
     departures: Counter<u64>,
     leaving_targets: Gauge<u64>,
+    departure_news_ms: Histogram<f64>,
     hop_bytes: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     request_ms: Histogram<f64>,
@@ -81,6 +82,7 @@
             former_holds: counter("former_holds"),
             departures: counter("departures_learned"),
             leaving_targets: meter.u64_gauge("leaving_targets").build(),
+            departure_news_ms: histogram("departure_news_ms"),
             hop_bytes: counter("hop_body_bytes"),
             log_lines_left_out: counter("log_lines_left_out"),
             request_ms: histogram("request_ms"),
@@ -167,6 +169,13 @@
         self.departures.add(1, &[KeyValue::new("from", from)]);
     }
 
+    /// Records the longest time that may have passed between the store's acknowledgement that a
+    /// target leaves and the news of it, by where the news came from.
+    pub fn departure_news(&self, from: &'static str, unheard_ms: u64) {
+        let labels = [KeyValue::new("from", from)];
+        self.departure_news_ms.record(millis(unheard_ms), &labels);
+    }
+
     /// Records the number of targets that leave although their entry says that they are ready.
     pub fn leaving_targets(&self, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
