Count the age of news from when it was written, not from when it arrived

Callers: none directly; a host believed its list of targets to be up to 0.9 s more recent than it was, so that it read the store itself up to 0.9 s too late after the coordinator was lost, and sent requests to targets that had left.

Cause: the reply to a report counted as sent at its arrival, at most 0.4 s after the time for which a report is held, and the answer to a watch of the store as written at its arrival. A full link or a busy host delays both.

Change: a reply says for how long its report was held; it counts as sent that long after the report. An answer of the store counts as written when the store's clock, which it carries, allows (SyncPoint); a watch is held for 0.7 s instead of 1 s, which pays for the stricter count. The age of the list of targets is kept apart from that of the configuration.

follow/tests.rs::a_late_reply_is_as_old_as_its_report fails with the former count (age 2 ms, 250 ms after the reply was written) and passes now.

--- a/crates/router/src/control/catch_up.rs
+++ b/crates/router/src/control/catch_up.rs
@@ -10,8 +10,8 @@
 };
 use crate::node::Node;
 
-/// Staleness from which this host reads the store itself. It exceeds the 1 s for which the
-/// coordinator's own watch of the store may be outstanding.
+/// Staleness from which this host reads the store itself. It exceeds the time for which the
+/// coordinator's own watch of the store may be outstanding, and a report after that.
 const STALE_MS: u64 = 1_500;
 
 /// Interval of the store reads.
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -231,7 +231,7 @@
     }
 }
 
-/// Sends a report; returns the reply and the time at which the other host sent it at the latest, or
+/// Sends a report; returns the reply and the time at which the other host sent it at the earliest, or
 /// `None` if it did not begin in time or stopped arriving.
 async fn send_report(
     node: &Node,
@@ -242,9 +242,12 @@
     let report = build_report(node, store_reachable, wait);
     let crashes = report.crashes.clone();
     let limit = wait + ANSWER_ALLOWANCE;
-    let begins_by = node.clock.now() + millis(limit);
+    let sent = node.clock.now();
     match client.sync(report, limit).await {
-        Ok(reply) => return Some((reply, node.clock.now().min(begins_by))),
+        Ok(reply) => {
+            let replied = (sent + reply.held_ms).min(node.clock.now());
+            return Some((reply, replied));
+        }
         Err(err) => log::debug!("a report failed: {err}"),
     }
     // The next report includes them again; a crash that is reported twice counts once.
@@ -268,10 +271,6 @@
     }
 }
 
-fn millis(duration: Duration) -> Millis {
-    Millis::try_from(duration.as_millis()).unwrap_or(Millis::MAX)
-}
-
 /// Gets updates from any host that answers, while neither the store nor the coordinator does.
 async fn ask_other_hosts(node: &Arc<Node>) {
     let hosts = node.hosts.load_full();
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -11,12 +11,12 @@
     node::{NewsSource, Node},
     peers::Event,
     ports::{Read, Revision, StoreError, Topic, Update},
-    state::CatalogMark,
+    state::{CatalogMark, SyncPoint},
 };
 
 /// How long the store holds a watch while there are no updates. A connection that went silent is
-/// noticed after this time.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// noticed after this time, and no host knows more recently what the store has accepted.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// How long the store holds a call that only reads what has changed so far.
 const NO_WAIT: Duration = Duration::from_millis(1);
@@ -27,20 +27,27 @@
 /// When each topic was last in sync with the store.
 #[derive(Debug, Default)]
 pub struct SyncTimes {
-    /// Times of this host's clock by topic; 0 before the first read.
-    at: Mutex<[Millis; 2]>,
+    /// By topic; `None` before the first read.
+    points: Mutex<[Option<SyncPoint>; 2]>,
 }
 
 impl SyncTimes {
-    /// Records that a topic was in sync at `at`; once both topics were, passes the older time to
-    /// the node.
-    fn record(&self, node: &Node, topic: Topic, at: Millis) {
-        let mut sync_times = self.at.lock().expect("lock is not poisoned");
-        sync_times[topic as usize] = at;
-        let oldest = sync_times[0].min(sync_times[1]);
-        if oldest > 0 {
-            node.set_synced_at(oldest);
+    /// Records an answer of the store, with its time in it, to a call that was sent at `sent`.
+    /// Returns up to when the topic is known, and passes that on to the node.
+    fn record(&self, node: &Node, topic: Topic, sent: Millis, store_ms: Millis) -> Millis {
+        let mut points = self.points.lock().expect("lock is not poisoned");
+        let point = match points[topic as usize] {
+            Some(before) => before.next(sent, node.clock.now(), store_ms),
+            None => SyncPoint::new(sent, store_ms),
+        };
+        points[topic as usize] = Some(point);
+        if topic == Topic::Targets {
+            node.set_targets_synced_at(point.at());
+        }
+        if let [Some(catalog), Some(targets)] = *points {
+            node.set_synced_at(catalog.at().min(targets.at()));
         }
+        point.at()
     }
 }
 
@@ -72,12 +79,12 @@
                     read.last_rev.max(rev)
                 };
                 let unreadable = read.unreadable > 0;
+                let store_ms = read.store_ms;
                 let again_at = apply(&node, topic, read, complete);
                 if complete || again_at.is_some() {
                     read_again_at = again_at;
                 }
-                let at = if complete { sent } else { node.clock.now() };
-                sync_times.record(&node, topic, at);
+                let at = sync_times.record(&node, topic, sent, store_ms);
                 if topic == Topic::Catalog && !unreadable {
                     confirm_catalog(&node, rev, at);
                 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -39,7 +39,7 @@
 const MAX_ANSWERS_BYTES: usize = 64 << 20;
 
 /// Age in milliseconds up to which a host's knowledge of the newest version of the configuration
-/// spares others a read of the store. It exceeds the 1 s for which the coordinator's own watch of the
+/// spares others a read of the store. It exceeds the time for which the coordinator's own watch of the
 /// store may be outstanding.
 pub const MAX_CATALOG_AGE_MS: u64 = 1_500;
 
@@ -161,6 +161,8 @@
     resigned: AtomicU64,
     /// When this host's state was last in sync with the store.
     synced_at: AtomicU64,
+    /// When the list of targets was; at least `synced_at`.
+    targets_synced_at: AtomicU64,
 }
 
 impl Node {
@@ -220,6 +222,7 @@
             needs_successor: AtomicBool::new(false),
             resigned: AtomicU64::new(0),
             synced_at: AtomicU64::new(0),
+            targets_synced_at: AtomicU64::new(0),
             settings,
         }
     }
@@ -378,8 +381,8 @@
         }
     }
 
-    /// Applies the reply of another host, which was sent at `sent`, and adopts its position in the
-    /// sequence, so that this host can pass the events on.
+    /// Applies the reply of another host, which was sent at `sent` or later, and adopts its position
+    /// in the sequence, so that this host can pass the events on.
     pub fn apply_reply(&self, reply: ReportReply, sent: Millis) {
         if let Some(mark) = reply.catalog {
             self.catalog.announce(Some(mark.version));
@@ -400,6 +403,7 @@
         for event in &reply.events {
             changed |= self.apply(event, NewsSource::Host);
         }
+        self.set_targets_synced_at(sent.saturating_sub(reply.targets_age_ms));
         {
             let mut feed = self.feed();
             if !reply.complete {
@@ -441,6 +445,8 @@
             catalog: self.catalog.mark(),
             catalog_age: self.catalog_age_ms(),
             age_ms: self.age_ms(),
+            targets_age_ms: self.targets_age_ms(),
+            held_ms: 0,
         }
     }
 
@@ -450,6 +456,21 @@
         now.saturating_sub(self.synced_at.load(Ordering::Relaxed))
     }
 
+    /// Milliseconds since this host's list of targets was in sync with the store.
+    pub fn targets_age_ms(&self) -> u64 {
+        self.clock.now().saturating_sub(self.targets_synced_at())
+    }
+
+    /// When this host's list of targets was last in sync with the store.
+    pub fn targets_synced_at(&self) -> Millis {
+        self.targets_synced_at.load(Ordering::Relaxed)
+    }
+
+    /// Records that this host's list of targets was in sync with the store at `at`.
+    pub fn set_targets_synced_at(&self, at: Millis) {
+        self.targets_synced_at.fetch_max(at, Ordering::Relaxed);
+    }
+
     /// Milliseconds since the version in force was known to be the newest one.
     pub fn catalog_age_ms(&self) -> u64 {
         let now = self.clock.now();
@@ -459,6 +480,7 @@
     /// Records that this host's state was in sync with the store at `at`.
     pub fn set_synced_at(&self, at: Millis) {
         self.synced_at.fetch_max(at, Ordering::Relaxed);
+        self.set_targets_synced_at(at);
         self.synced.store(true, Ordering::Relaxed);
     }
 
@@ -578,7 +600,7 @@
         entry: Option<&TargetEntry>,
         from: NewsSource,
     ) {
-        let unheard_ms = self.age_ms();
+        let unheard_ms = self.targets_age_ms();
         let state = entry.map(|it| it.state);
         if matches!(state, None | Some(TargetState::Draining)) {
             self.metrics.departure_news(from.label(), unheard_ms);
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -78,6 +78,7 @@
 impl Coordination for Server {
     async fn sync(self, _: Context, report: Report) -> ReportReply {
         let node = self.node;
+        let arrived = node.clock.now();
         let (known, catalog) = (report.known, report.catalog);
         let wait = Duration::from_millis(report.wait_ms.into()).min(MAX_WAIT);
         node.deliver_report(report);
@@ -102,7 +103,11 @@
                 break;
             }
         }
-        node.reply_to(known)
+        let held_ms = node.clock.now().saturating_sub(arrived);
+        ReportReply {
+            held_ms,
+            ..node.reply_to(known)
+        }
     }
 
     async fn catalog(self, _: Context, query: CatalogQuery) -> CatalogAnswer {
--- a/crates/router/src/ports/store.rs
+++ b/crates/router/src/ports/store.rs
@@ -50,6 +50,8 @@
     pub unreadable: usize,
     /// The newest revision of the store.
     pub rev: Revision,
+    /// Time of the store's clock.
+    pub store_ms: Millis,
 }
 
 /// A row of the router's own table.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -3,10 +3,12 @@
 mod catalogs;
 mod departures;
 mod store_contact;
+mod sync_point;
 mod target;
 mod targets;
 
 pub use catalogs::{CatalogMark, CatalogUpdate, Catalogs};
 pub use store_contact::StoreContact;
+pub use sync_point::SyncPoint;
 pub use target::{TargetEntry, TargetState};
 pub use targets::Targets;
