Read the list of targets without waiting for the configuration

Callers: none directly; requests reached targets that had left. A host without news read the configuration first, from the relay of its data centre and then from the store, and the targets only if that succeeded. A version that is long for its link, or a store that does not answer that read, kept it from hearing that targets leave.

Change: the list of targets is brought up to date by a task of its own, by the age of that list.

--- a/crates/router/src/control.rs
+++ b/crates/router/src/control.rs
@@ -9,7 +9,7 @@
 mod tenure;
 mod watch;
 
-pub use catch_up::catch_up;
+pub use catch_up::{catch_up, catch_up_targets};
 pub use configuration::fetch_announced;
 #[cfg(test)]
 pub use follow::build_report;
--- a/crates/router/src/control/catch_up.rs
+++ b/crates/router/src/control/catch_up.rs
@@ -24,13 +24,33 @@
 /// change without the knowledge of this host only while it is cut off from the coordinator.
 const SLICES_INTERVAL_MS: u64 = 3_000;
 
-/// Bounds the staleness of this host's state; never returns.
+/// Bounds the staleness of this host's list of targets; never returns.
+///
+/// The list does not wait for the configuration, whose versions may be large: requests must not reach
+/// a target longer than `drain_s` after the store has accepted that it leaves.
+pub async fn catch_up_targets(node: Arc<Node>) {
+    loop {
+        let fresh_for = STALE_MS.saturating_sub(node.targets_age_ms());
+        tokio::time::sleep(Duration::from_millis(fresh_for)).await;
+        if node.targets_age_ms() < STALE_MS {
+            continue;
+        }
+        let read_again = tokio::time::Instant::now() + READ_INTERVAL;
+        let sent = node.clock.now();
+        if read_target_changes(&node).await {
+            node.set_targets_synced_at(sent);
+        } else {
+            tokio::time::sleep_until(read_again).await;
+        }
+    }
+}
+
+/// Bounds the staleness of this host's configuration and owners of keys; never returns.
 ///
 /// Without a coordinator every host asks for changes of the configuration in each interval, so that a
 /// new version takes effect in time: one host of each data centre asks the store, and the others ask
-/// that host, because a version may be large. The targets and the owners of keys are long lists that
-/// all hosts would fetch over the same links, so they are read only when they are stale: of the
-/// targets only the changes, and the owners less often.
+/// that host, because a version may be large. The owners of keys are a long list that all hosts would
+/// fetch over the same links, so they are read less often.
 pub async fn catch_up(node: Arc<Node>) {
     let mut slices_read: Option<Millis> = None;
     let mut slices_rev = None;
@@ -51,7 +71,7 @@
             Some(_) => sent.min(node.catalog.checked_at()),
             None => sent,
         };
-        if !stale || !read || !read_target_changes(&node).await {
+        if !stale || !read || node.targets_synced_at() == 0 {
             continue;
         }
         let slices_read_at = *slices_read.get_or_insert_with(|| sent.saturating_sub(delay_ms()));
@@ -59,7 +79,7 @@
             slices_rev = follow::read_slices(&node, slices_rev).await;
             slices_read = Some(sent);
         }
-        node.set_synced_at(read_at);
+        node.set_synced_at(read_at.min(node.targets_synced_at()));
     }
 }
 
--- a/crates/router/src/control/catch_up/tests.rs
+++ b/crates/router/src/control/catch_up/tests.rs
@@ -58,11 +58,36 @@
             };
             node.announce(vec![Event::Target("a".into(), rev, None)]);
         }
-        let task = tokio::spawn(catch_up(Arc::clone(&node)));
+        let tasks = [
+            tokio::spawn(catch_up(Arc::clone(&node))),
+            tokio::spawn(catch_up_targets(Arc::clone(&node))),
+        ];
         let stale = Duration::from_millis(STALE_MS);
         tokio::time::sleep(stale + READ_INTERVAL + READ_INTERVAL / 2).await;
-        task.abort();
+        for task in tasks {
+            task.abort();
+        }
         assert!(node.age_ms() < STALE_MS, "{}", case.port);
         assert_eq!(store.target_reads(), case.reads, "{}", case.port);
     }
 }
+
+/// Guards against a host that sends requests to targets that have left, because it reads the list of
+/// targets only after a configuration that is too long for its link.
+#[tokio::test]
+async fn the_targets_do_not_wait_for_the_configuration() {
+    let store = Arc::new(EmptyPlatform::with_silent_catalog());
+    let node = Arc::new(node_at("h1", 7_370, store));
+    let tasks = [
+        tokio::spawn(catch_up(Arc::clone(&node))),
+        tokio::spawn(catch_up_targets(Arc::clone(&node))),
+    ];
+    let stale = Duration::from_millis(STALE_MS);
+    tokio::time::sleep(stale + READ_INTERVAL + READ_INTERVAL / 2).await;
+    for task in tasks {
+        task.abort();
+    }
+    let targets_age = node.targets_age_ms();
+    assert!(targets_age < STALE_MS, "{targets_age} ms");
+    assert!(node.age_ms() >= STALE_MS, "the configuration is unknown");
+}
--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -11,7 +11,7 @@
 };
 
 use coordinator::{GrantOutcome, Order, ReleaseOutcome};
-use futures::future::{BoxFuture, ready};
+use futures::future::{BoxFuture, pending, ready};
 use http::{HeaderName, StatusCode};
 use routing::{Catalog, CatalogParts, Limits};
 
@@ -34,6 +34,8 @@
     /// Whether the store has the history of its rows, in which nothing has changed; unknown if
     /// absent.
     history: Option<bool>,
+    /// Whether reads of the configuration are not answered.
+    silent_catalog: bool,
     /// Result of all commits; unknown if absent.
     commit: Option<CommitResult>,
 }
@@ -55,6 +57,16 @@
         }
     }
 
+    /// Creates a platform whose store has the history of its rows, and does not answer reads of the
+    /// configuration.
+    pub fn with_silent_catalog() -> Self {
+        Self {
+            history: Some(true),
+            silent_catalog: true,
+            ..Self::default()
+        }
+    }
+
     /// Number of reads of the whole list of targets so far.
     pub fn target_reads(&self) -> u32 {
         self.target_reads.load(Ordering::Relaxed)
@@ -73,6 +85,9 @@
             Topic::Targets => &self.target_reads,
         };
         reads.fetch_add(1, Ordering::Relaxed);
+        if topic == Topic::Catalog && self.silent_catalog {
+            return Box::pin(pending());
+        }
         Box::pin(ready(Ok(Read::default())))
     }
 
--- a/crates/router/src/run.rs
+++ b/crates/router/src/run.rs
@@ -55,6 +55,7 @@
     tokio::spawn(forwarded);
     tokio::spawn(control::follow(Arc::clone(&node)));
     tokio::spawn(control::catch_up(Arc::clone(&node)));
+    tokio::spawn(control::catch_up_targets(Arc::clone(&node)));
     tokio::spawn(control::fetch_announced(Arc::clone(&node)));
     let stop = wait_for_stop(Arc::clone(&node));
     entry::serve(Arc::clone(&node), callers, stop).await;
