Send to a target only while it is known to have served recently

Targets saw requests 3,007 ms after the store had accepted that they leave (drain_s is 3 s); callers saw nothing.

Cause: a host sent to a target until it heard that the target leaves, however old its knowledge was. On a full link between regions every call of the host is given up (0.8 s, 0.9 s) before its answer arrives, so that the news never comes.

Change: a gateway sends to a target only while it is known to have served less than drain_s, less 0.3 s for the way, ago: by the list of targets, counted from the time at which the store wrote it, or by an answer of the target that does not close the connection, counted from the time at which its request was sent. If it does not say that it serves, it is left alone for a second, and the request goes to another target or is refused at once. All other targets go on serving, also when neither the store nor another host can be reached. The list of targets is also looked at again after the connection is there, and requests that wait are not sent to a target that has closed meanwhile.

--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -169,6 +169,8 @@
             not_run: header("not-run"),
             seal: header("seal"),
             leaving: |headers, _| headers.contains_key("leaving"),
+            may_leave: |headers| headers.contains_key("may-leave"),
+            healthy: |status, _, _| status == StatusCode::OK,
             status: |_| StatusCode::SERVICE_UNAVAILABLE,
         },
     };
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -7,6 +7,7 @@
 
 mod admission_queue;
 mod admission_queues;
+mod confirm;
 mod exchange;
 mod forward;
 mod hop;
@@ -16,6 +17,7 @@
 mod request;
 mod retry_after;
 mod serve;
+mod standing;
 
 pub use admission_queue::QueueLoad;
 pub use admission_queues::AdmissionQueues;
--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -17,7 +17,9 @@
 use refusal::Reason;
 use tokio::sync::oneshot;
 
-use super::{GatewayRequest, QueueId, WaitLimit, member::Member, pauses::Pauses};
+use super::{
+    GatewayRequest, QueueId, WaitLimit, member::Member, pauses::Pauses, standing::Standing,
+};
 use crate::{
     node::Node,
     peers::{KeyCount, RouteCost, TargetLoad},
@@ -37,6 +39,9 @@
 /// Interval at which a single request is still sent to a target for keys whose grant has expired.
 const EXPIRED_RETRY_MS: u64 = 150;
 
+/// Time for which a target that may have left, and did not say that it serves, is left alone.
+const DOUBT_MS: Millis = 1_000;
+
 /// Longest time between two refreshes of the state of targets while a request waits.
 const MAX_REFRESH_INTERVAL_MS: u64 = 250;
 
@@ -141,7 +146,7 @@
             if inner.members.is_empty() {
                 return Err(Reason::NoOwner);
             }
-            if !inner.members.iter().any(|it| it.admits(request.arrived)) {
+            if !inner.members.iter().any(|it| it.admits(now)) {
                 return Err(Reason::TargetDraining);
             }
             if inner.paused_until.is_some() && matches!(inner.id, QueueId::Pool { .. }) {
@@ -286,7 +291,7 @@
         request: &GatewayRequest,
     ) -> Result<SlotGuard, Reason> {
         let now = self.clock.now();
-        let Some(member) = inner.pick_member(now, request.arrived) else {
+        let Some(member) = inner.pick_member(now) else {
             let decisions = inner.queue.finish(now, id, 0, RequestEnd::Cancelled);
             inner.notify(decisions);
             return Err(if inner.members.is_empty() {
@@ -386,16 +391,15 @@
         if count > 0.0 { (sum / count) as u64 } else { 0 }
     }
 
-    /// The target for a request that arrived at `arrived`: the least busy one, preferring those with
-    /// a free slot.
-    fn pick_member(&mut self, now: Millis, arrived: Millis) -> Option<&mut Member> {
+    /// The target for a request: the least busy one, preferring those with a free slot.
+    fn pick_member(&mut self, now: Millis) -> Option<&mut Member> {
         let busy = |it: &Member| {
             let slots = it.slots(now).max(1);
             let full = it.running >= slots;
             let unusable = it.slots(now) == 0;
             (unusable, full, it.running * 1_000 / slots, it.last_used)
         };
-        let admitting = self.members.iter_mut().filter(|it| it.admits(arrived));
+        let admitting = self.members.iter_mut().filter(|it| it.admits(now));
         admitting.min_by_key(|it| busy(it))
     }
 
@@ -434,6 +438,37 @@
 }
 
 impl SlotGuard {
+    /// Whether the target may be sent a request now.
+    pub(super) fn standing(&self, node: &Node) -> Standing {
+        let now = self.queue.clock.now();
+        let drain_ms = node.drain_ms();
+        let targets = node.targets();
+        let entry = targets.get(&self.incarnation.target);
+        let current = entry.filter(|it| {
+            it.started_ms == self.incarnation.started_ms && it.state != TargetState::Draining
+        });
+        let closed_from = targets.closed_from(&self.incarnation, drain_ms);
+        if current.is_none() || closed_from.is_some_and(|it| now >= it) {
+            return Standing::Left;
+        }
+        drop(targets);
+        let answered = self.with_member(|it| it.serving_at).unwrap_or_default();
+        let known = answered.max(node.targets_synced_at());
+        Standing::of_serving(known, now, drain_ms)
+    }
+
+    /// Records that the answer to a request which was sent at `sent` shows that the target did not
+    /// leave then.
+    pub(super) fn on_serving(&self, sent: Millis) {
+        self.with_member(|it| it.serving_at = it.serving_at.max(sent));
+    }
+
+    /// Leaves the target alone for a while, because it may have left.
+    pub(super) fn doubt(&self) {
+        let until = self.queue.clock.now() + DOUBT_MS;
+        self.with_member(|it| it.doubted_until = until);
+    }
+
     /// Whether the target is in a pause.
     pub(super) fn is_paused(&self) -> bool {
         let pause = self.queue.pauses().get(&self.incarnation);
@@ -445,6 +480,14 @@
         self.queue.on_pause(&self.incarnation, pause_ms)
     }
 
+    fn with_member<T>(&self, read: impl FnOnce(&mut Member) -> T) -> Option<T> {
+        let mut inner = self.queue.lock();
+        let is_own = |it: &&mut Member| {
+            it.name == self.incarnation.target && it.entry.started_ms == self.incarnation.started_ms
+        };
+        inner.members.iter_mut().find(is_own).map(read)
+    }
+
     /// Frees the slot; `outcome` is what the request revealed about the target's health.
     pub(super) fn end(mut self, end: RequestEnd, outcome: Option<HealthOutcome>) {
         self.finish(end, outcome);
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -10,14 +10,16 @@
 use coordinator::{FencingToken, Incarnation, Key, Millis, Phase};
 use http::{HeaderValue, Request, Response, StatusCode, header, response::Parts};
 use http_body_util::Full;
-use pool::{ConnectError, Freshness};
+use pool::{ConnectError, Freshness, Sender};
 use refusal::Reason;
 
 use super::{
     GatewayRequest, QueueId,
     admission_queue::{AdmissionQueue, SlotGuard},
+    confirm::confirm,
     poison,
     retry_after::retry_after,
+    standing::Standing,
 };
 use crate::{
     entry::end_to_end,
@@ -80,8 +82,8 @@
     }
 }
 
-/// Waits for a slot and sends the request. Returns `None` if the target asked for a pause before the
-/// request was sent, so that it has to wait again.
+/// Waits for a slot and sends the request. Returns `None` if the target asked for a pause or left
+/// before the request was sent, so that it has to wait again.
 async fn attempt(
     node: &Arc<Node>,
     queue: &Arc<AdmissionQueue>,
@@ -107,7 +109,7 @@
     let began = node.clock.now();
     let mut outcome = exchange(node, &slot, request).await;
     if let AttemptOutcome::NotRun {
-        reason: Reason::TargetPaused,
+        reason: Reason::TargetPaused | Reason::TargetDraining,
         offered: false,
         ..
     } = outcome
@@ -252,19 +254,12 @@
     slot: &SlotGuard,
     gateway_request: &GatewayRequest,
 ) -> AttemptOutcome {
-    let left = Duration::from_millis(gateway_request.end.saturating_sub(node.clock.now()));
-    let limit = left.min(CONNECT_TIMEOUT);
-    let mut sender = match slot.pool.checkout(Freshness::Any, limit).await {
+    let mut sender = match connect(node, slot, gateway_request).await {
         Ok(sender) => sender,
-        Err(ConnectError::Refused | ConnectError::Unreachable) => {
-            return AttemptOutcome::not_sent(Reason::TargetUnreachable);
-        }
-        Err(ConnectError::Exhausted) => return AttemptOutcome::not_sent(Reason::TargetShed),
+        Err(reason) => return AttemptOutcome::not_sent(reason),
     };
-    if slot.is_paused() {
-        slot.pool.put_back(sender);
-        return AttemptOutcome::not_sent(Reason::TargetPaused);
-    }
+    let sent = node.clock.now();
+    let left = Duration::from_millis(gateway_request.end.saturating_sub(sent));
     let request = request_of(node, &slot.incarnation.target, gateway_request);
     let exchange = sender.fetch(request, &node.answer_limits);
     let (parts, body) = match tokio::time::timeout(left, exchange).await {
@@ -283,6 +278,9 @@
         return AttemptOutcome::Unknown(Reason::TargetLost);
     }
     let leaving = (node.profile.leaving)(&parts.headers, &slot.incarnation.target);
+    if !leaving && !(node.profile.may_leave)(&parts.headers) {
+        slot.on_serving(sent);
+    }
     let mut outcome = outcome_of_answer(node, parts, body);
     if leaving {
         on_leaving(node, &slot.incarnation, &mut outcome);
@@ -293,6 +291,42 @@
     outcome
 }
 
+/// Takes a connection to the target of a slot, or returns why the request must not be sent to it. The
+/// target is asked whether it serves if nothing has shown that recently.
+async fn connect(
+    node: &Node,
+    slot: &SlotGuard,
+    request: &GatewayRequest,
+) -> Result<Sender, Reason> {
+    let mut asked = false;
+    loop {
+        let left = Duration::from_millis(request.end.saturating_sub(node.clock.now()));
+        let connected = slot
+            .pool
+            .checkout(Freshness::Any, left.min(CONNECT_TIMEOUT));
+        let sender = connected.await.map_err(|err| match err {
+            ConnectError::Refused | ConnectError::Unreachable => Reason::TargetUnreachable,
+            ConnectError::Exhausted => Reason::TargetShed,
+        })?;
+        if slot.is_paused() {
+            slot.pool.put_back(sender);
+            return Err(Reason::TargetPaused);
+        }
+        match slot.standing(node) {
+            Standing::Serving => return Ok(sender),
+            Standing::Unknown if !asked => {
+                asked = true;
+                confirm(node, slot, request, sender, left).await;
+            }
+            Standing::Unknown => {
+                slot.doubt();
+                return Err(Reason::TargetDraining);
+            }
+            Standing::Left => return Err(Reason::TargetDraining),
+        }
+    }
+}
+
 /// Records that a target is about to stop, unless its answer cannot be trusted.
 fn on_leaving(node: &Node, incarnation: &Incarnation, outcome: &mut AttemptOutcome) {
     match outcome {
--- a/crates/router/src/gateway/member.rs
+++ b/crates/router/src/gateway/member.rs
@@ -23,8 +23,12 @@
     pub(super) pause: Pause,
     /// Exponential moving average of service times in milliseconds; `None` before the first answer.
     pub(super) mean_ms: Option<f64>,
-    /// Requests that arrived at this time or later are not sent to it, because it is about to stop.
+    /// From this time on no requests are sent to it, because it is about to stop.
     pub(super) closed_from: Option<Millis>,
+    /// When the latest request was sent to it whose answer shows that it did not leave then.
+    pub(super) serving_at: Millis,
+    /// Until when it is left alone, because it may have left and did not say that it serves.
+    pub(super) doubted_until: Millis,
     /// When it was last sent a request.
     pub(super) last_used: Millis,
 }
@@ -40,13 +44,15 @@
             pause: Pause::default(),
             mean_ms: None,
             closed_from: None,
+            serving_at: 0,
+            doubted_until: 0,
             last_used: 0,
         }
     }
 
-    /// Whether a request that arrived at `arrived` may be sent to it.
-    pub(super) fn admits(&self, arrived: Millis) -> bool {
-        self.closed_from.is_none_or(|it| arrived < it)
+    /// Whether requests may be sent to it at `now`.
+    pub(super) fn admits(&self, now: Millis) -> bool {
+        now >= self.doubted_until && self.closed_from.is_none_or(|it| now < it)
     }
 
     /// Requests that it may run at once.
--- /dev/null
+++ b/crates/router/src/gateway/standing.rs
@@ -0,0 +1,34 @@
+//! Whether a target may be sent a request now.
+
+use coordinator::Millis;
+
+/// Longest time between the decision to send a request and its arrival at the target, on a host with
+/// little processor time.
+const SEND_MARGIN_MS: Millis = 300;
+
+/// What a gateway knows of a target at the moment of sending.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Standing {
+    /// It is known to serve, or began to leave so recently that it still does.
+    Serving,
+    /// It may have left too long ago.
+    Unknown,
+    /// It leaves, or another incarnation has taken its place.
+    Left,
+}
+
+impl Standing {
+    /// The standing at `now` of a target that was known at `known` not to leave, and serves for
+    /// `drain_ms` when it does.
+    pub(super) fn of_serving(known: Millis, now: Millis, drain_ms: Millis) -> Self {
+        let margin = SEND_MARGIN_MS.min(drain_ms / 2);
+        if now < known + drain_ms - margin {
+            Self::Serving
+        } else {
+            Self::Unknown
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/observe.rs
+++ b/crates/router/src/observe.rs
@@ -11,6 +11,7 @@
 
 pub use attempt::{
     Attempt, attempt, pause_started, queue_rejected, refused_unread, retry_after_ignored,
+    target_checked,
 };
 pub use log_limiter::{LineKind, LogLimiter};
 pub use metrics::{Distance, Metrics};
--- a/crates/router/src/observe/attempt.rs
+++ b/crates/router/src/observe/attempt.rs
@@ -82,6 +82,25 @@
     );
 }
 
+/// Records that a target was asked whether it serves, because it may have left.
+pub fn target_checked(node: &Node, incarnation: &Incarnation, serves: bool) {
+    node.metrics.target_check(serves);
+    if serves {
+        return;
+    }
+    let Some(left_out) = node.may_log(LineKind::StateChange) else {
+        return;
+    };
+    log::warn!(
+        target: "attempt",
+        target_name = &*incarnation.target,
+        born = incarnation.started_ms,
+        unheard_ms = node.targets_age_ms(),
+        left_out;
+        "a target that may have left does not say that it serves"
+    );
+}
+
 /// Records that a target refused a request with an unusable `Retry-After`.
 pub fn retry_after_ignored(node: &Node, value: &HeaderValue) {
     let Some(left_out) = node.may_log(LineKind::Attempt) else {
--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -53,6 +53,7 @@
     departures: Counter<u64>,
     leaving_targets: Gauge<u64>,
     departure_news_ms: Histogram<f64>,
+    target_checks: Counter<u64>,
     hop_bytes: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     request_ms: Histogram<f64>,
@@ -82,6 +83,7 @@
             former_holds: counter("former_holds"),
             departures: counter("departures_learned"),
             leaving_targets: meter.u64_gauge("leaving_targets").build(),
+            target_checks: counter("target_checks"),
             departure_news_ms: histogram("departure_news_ms"),
             hop_bytes: counter("hop_body_bytes"),
             log_lines_left_out: counter("log_lines_left_out"),
@@ -176,6 +178,12 @@
         self.departure_news_ms.record(millis(unheard_ms), &labels);
     }
 
+    /// Counts a health check of a target that may have left, by whether it serves.
+    pub fn target_check(&self, serves: bool) {
+        self.target_checks
+            .add(1, &[KeyValue::new("serves", serves)]);
+    }
+
     /// Records the number of targets that leave although their entry says that they are ready.
     pub fn leaving_targets(&self, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
--- a/crates/router/src/ports/protocol_profile.rs
+++ b/crates/router/src/ports/protocol_profile.rs
@@ -10,6 +10,13 @@
 /// is about to stop.
 pub type LeavingSign = fn(&HeaderMap, &str) -> bool;
 
+/// Returns whether an answer could be one of a target that is about to stop.
+pub type DepartureHint = fn(&HeaderMap) -> bool;
+
+/// Returns whether an answer to a health check says that the named target serves and is not about to
+/// stop.
+pub type HealthSign = fn(StatusCode, &HeaderMap, &str) -> bool;
+
 /// The header names and refusal statuses of the protocol that callers and targets speak.
 #[derive(Clone, Debug)]
 pub struct ProtocolProfile {
@@ -27,6 +34,10 @@
     pub seal: HeaderName,
     /// Reads from an answer whether its target is about to stop.
     pub leaving: LeavingSign,
+    /// Reads from an answer whether its target may be about to stop.
+    pub may_leave: DepartureHint,
+    /// Reads the answer to a health check.
+    pub healthy: HealthSign,
     /// Maps a refusal to its HTTP status.
     pub status: RefusalStatus,
 }
