Count a departure from the target's answer on all hosts, up to the moment of sending

Cause: each host counted drain_s from the moment at which it had heard of the departure, by an answer, a message or an event, and compared it with the arrival of a request at its entry host. A host that heard of it late sent later than others, and a request that had waited was sent after the end.

Change: the count begins when the request was sent whose answer shows the departure. Hosts tell each other how long ago that was; a reply counts from its report, a report as if it had been on its way for the 0.4 s after which its sender gives it up. The end is compared with the time of sending, at the entry host and at the gateway.

node/tests.rs::a_departure_counts_from_the_answer_on_all_hosts guards it: the former count gave 1,950 ms from the news, 150 ms after the answer; the test allows 1,850.

--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -19,7 +19,7 @@
 const REPORT_WAIT: Duration = Duration::from_millis(500);
 
 /// Longest wait for an answer beyond the time for which the report may be held back.
-const ANSWER_ALLOWANCE: Duration = Duration::from_millis(400);
+pub(super) const ANSWER_ALLOWANCE: Duration = Duration::from_millis(400);
 
 /// Longest wait for a connection to another host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -265,7 +265,7 @@
         span_ms,
         loads,
         crashes: node.poison_requests.take_crashes(node.clock.now()),
-        leaving: node.targets().leaving().cloned().collect(),
+        leaving: node.targets().leaving(node.clock.now()).collect(),
         store: store_reachable,
         wait_ms: u32::try_from(wait.as_millis()).unwrap_or(u32::MAX),
     }
--- a/crates/router/src/control/tenure.rs
+++ b/crates/router/src/control/tenure.rs
@@ -21,6 +21,7 @@
     lost_rows::LostRows,
 };
 use super::{
+    follow::ANSWER_ALLOWANCE,
     lease::Lease,
     loads,
     watch::{SyncTimes, watch},
@@ -292,8 +293,12 @@
         let now = self.node.clock.now();
         self.registry.on_report(&report, now);
         self.has_successor |= self.node.needs_successor() && report.store == Some(true);
-        for incarnation in &report.leaving {
-            self.node.on_leaving(incarnation, LeavingSource::Host);
+        // How long the report was on its way is unknown.
+        let sent = now.saturating_sub(millis(ANSWER_ALLOWANCE));
+        for it in &report.leaving {
+            let since = sent.saturating_sub(it.age_ms);
+            self.node
+                .on_leaving(&it.incarnation, since, LeavingSource::Host);
         }
         self.quarantine_requests(report.crashes, now);
         self.record_loads(&report.loads, now);
@@ -365,6 +370,10 @@
     }
 }
 
+fn millis(duration: Duration) -> Millis {
+    Millis::try_from(duration.as_millis()).unwrap_or(Millis::MAX)
+}
+
 fn address_of(node: &Node, target: &str) -> Option<SocketAddr> {
     let targets = node.targets();
     let mut all = targets.all();
@@ -408,7 +417,7 @@
         }
     };
     if leaving {
-        node.on_leaving(&order.incarnation, LeavingSource::Target);
+        node.on_leaving(&order.incarnation, sent, LeavingSource::Target);
     }
     let (kind, outcome) = result.labels();
     node.metrics.order(kind, outcome);
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -151,6 +151,7 @@
 
     async fn forward(&self, gateway_request: &GatewayRequest, host: &HostInfo) -> AttemptOutcome {
         let node = self.node;
+        let forwarded = node.clock.now();
         let outcome = node
             .forwarder
             .send(node, host.forward, gateway_request)
@@ -158,7 +159,7 @@
         match &outcome {
             AttemptOutcome::Answered(answer) => {
                 if let Some(LeavingTarget(it)) = answer.extensions().get() {
-                    node.on_leaving(it, LeavingSource::Gateway);
+                    node.on_leaving(it, forwarded, LeavingSource::Gateway);
                 }
                 let sent = u64::try_from(gateway_request.body.len()).unwrap_or(u64::MAX);
                 let received = answer.body().size_hint().lower();
@@ -293,14 +294,14 @@
         }
     }
 
-    /// Whether a target is about to stop, and takes no requests that arrived as late as this one.
+    /// Whether a target is about to stop, and is sent no requests any more.
     fn is_closed(&self, target: &Arc<str>) -> bool {
         let targets = self.node.targets();
         let Some(entry) = targets.get(target) else {
             return false;
         };
         let closed_from = targets.closed_from(&entry.incarnation(target), self.node.drain_ms());
-        closed_from.is_some_and(|it| self.request.arrived >= it)
+        closed_from.is_some_and(|it| self.node.clock.now() >= it)
     }
 
     /// The data centres where the service has a target in `state`, nearest first.
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -283,7 +283,7 @@
     }
     let mut outcome = outcome_of_answer(node, parts, body);
     if leaving {
-        on_leaving(node, &slot.incarnation, &mut outcome);
+        on_leaving(node, &slot.incarnation, sent, &mut outcome);
     }
     if may_reuse(&outcome) {
         slot.pool.put_back(sender);
@@ -327,8 +327,9 @@
     }
 }
 
-/// Records that a target is about to stop, unless its answer cannot be trusted.
-fn on_leaving(node: &Node, incarnation: &Incarnation, outcome: &mut AttemptOutcome) {
+/// Records that a target is about to stop, unless its answer to a request that was sent at `sent`
+/// cannot be trusted.
+fn on_leaving(node: &Node, incarnation: &Incarnation, sent: Millis, outcome: &mut AttemptOutcome) {
     match outcome {
         AttemptOutcome::Answered(response) => {
             let leaving = LeavingTarget(incarnation.clone());
@@ -337,7 +338,7 @@
         AttemptOutcome::NotRun { .. } => {}
         AttemptOutcome::Unknown(_) => return,
     }
-    node.on_leaving(incarnation, LeavingSource::Target);
+    node.on_leaving(incarnation, sent, LeavingSource::Target);
 }
 
 /// Whether the connection of an exchange with this outcome may carry another request.
--- a/crates/router/src/gateway/exchange/tests.rs
+++ b/crates/router/src/gateway/exchange/tests.rs
@@ -160,7 +160,7 @@
             target: "a".into(),
             started_ms: 1,
         };
-        on_leaving(&node, &incarnation, &mut case.outcome);
+        on_leaving(&node, &incarnation, 0, &mut case.outcome);
         let leaving = node.targets().is_leaving(&incarnation);
         assert_eq!(leaving, case.leaving, "{}", case.name);
     }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -29,7 +29,7 @@
     ports::{ProtocolProfile, Revision, Store, TargetApi},
     run::Ports,
     settings::Settings,
-    state::{Catalogs, StoreContact, TargetEntry, TargetState, Targets},
+    state::{Catalogs, Departure, StoreContact, TargetEntry, TargetState, Targets},
 };
 
 /// Slices by service.
@@ -318,15 +318,20 @@
         }
     }
 
-    /// Records that a target has said in an answer that it is about to stop, and tells other hosts:
-    /// the coordinator by an event, any other host in its next report, which is sent at once.
-    pub fn on_leaving(&self, incarnation: &Incarnation, from: LeavingSource) {
+    /// Records that a target has said in an answer, at `since` or later, that it is about to stop, and
+    /// tells other hosts: the coordinator by an event, any other host in its next report, which is
+    /// sent at once.
+    pub fn on_leaving(&self, incarnation: &Incarnation, since: Millis, from: LeavingSource) {
         let known = self.targets().is_leaving(incarnation);
-        if known || !self.learn_leaving(incarnation, from) {
+        if known || !self.learn_leaving(incarnation, since, from) {
             return;
         }
         if self.is_coordinator() {
-            self.feed().push(Event::Leaving(incarnation.clone()));
+            let departure = Departure {
+                incarnation: incarnation.clone(),
+                age_ms: self.clock.now().saturating_sub(since),
+            };
+            self.feed().push(Event::Leaving(departure));
             self.feed_changed.notify_waiters();
         } else {
             self.report_soon.notify_one();
@@ -401,7 +406,13 @@
         }
         let mut changed = false;
         for event in &reply.events {
-            changed |= self.apply(event, NewsSource::Host);
+            changed |= match event {
+                Event::Leaving(it) => {
+                    let since = sent.saturating_sub(it.age_ms);
+                    self.learn_leaving(&it.incarnation, since, LeavingSource::Host)
+                }
+                event => self.apply(event, NewsSource::Host),
+            };
         }
         self.set_targets_synced_at(sent.saturating_sub(reply.targets_age_ms));
         {
@@ -421,10 +432,21 @@
 
     /// Builds the reply to a host that knows everything up to `known`.
     pub fn reply_to(&self, known: Position) -> ReportReply {
-        let (position, events) = {
+        let (position, mut events) = {
             let feed = self.feed();
             (feed.position(), feed.after(known))
         };
+        let now = self.clock.now();
+        for event in events.iter_mut().flatten() {
+            let Event::Leaving(departure) = event else {
+                continue;
+            };
+            let targets = self.targets();
+            let mut leaving = targets.leaving(now);
+            if let Some(it) = leaving.find(|it| it.incarnation == departure.incarnation) {
+                *departure = it;
+            }
+        }
         let complete = events.is_none();
         let own = self.info.peer;
         let coordinator = if self.is_coordinator() {
@@ -548,8 +570,8 @@
             events.push(Event::Target(name, rev, entry));
         }
         events.extend(self.targets().list().map(|it| Event::Listed(it.0, it.1)));
-        let leaving: Vec<_> = self.targets().leaving().cloned().collect();
-        events.extend(leaving.into_iter().map(Event::Leaving));
+        let now = self.clock.now();
+        events.extend(self.targets().leaving(now).map(Event::Leaving));
         for (service, table) in &*self.tables() {
             for slice in table.iter() {
                 events.push(Event::Slice(Arc::clone(service), slice.clone()));
@@ -576,7 +598,10 @@
                 self.apply_list(names, *rev, from);
                 true
             }
-            Event::Leaving(incarnation) => self.learn_leaving(incarnation, LeavingSource::Host),
+            Event::Leaving(it) => {
+                let since = self.clock.now().saturating_sub(it.age_ms);
+                self.learn_leaving(&it.incarnation, since, LeavingSource::Host)
+            }
             Event::Slice(service, slice) => {
                 let mut tables = self.tables.write().expect("lock is not poisoned");
                 let table = tables.entry(Arc::clone(service)).or_default();
@@ -630,10 +655,10 @@
         }
     }
 
-    /// Records that a target is about to stop; returns whether this is new.
-    fn learn_leaving(&self, incarnation: &Incarnation, from: LeavingSource) -> bool {
-        let now = self.clock.now();
-        if !self.targets_mut().on_leaving(incarnation, now) {
+    /// Records that a target has said at `since` or later that it is about to stop; returns whether
+    /// this is new.
+    fn learn_leaving(&self, incarnation: &Incarnation, since: Millis, from: LeavingSource) -> bool {
+        if !self.targets_mut().on_leaving(incarnation, since) {
             return false;
         }
         self.metrics.leaving(from.label());
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -198,10 +198,35 @@
         target: "a".into(),
         started_ms: 1,
     };
-    coordinator.on_leaving(&incarnation, LeavingSource::Host);
+    coordinator.on_leaving(&incarnation, 0, LeavingSource::Host);
     for host in [&follower, &late] {
         sync(&coordinator, host);
         let state = host.targets().get("a").map(|it| it.state);
         assert_eq!(state, Some(TargetState::Leaving), "{}", host.info.name);
     }
 }
+
+/// Guards against hosts that count the time for which a leaving target serves from the moment at
+/// which they hear of it, instead of from the target's answer.
+#[test]
+fn a_departure_counts_from_the_answer_on_all_hosts() {
+    const DRAIN_MS: Millis = 2_000;
+    let (coordinator, follower) = pair();
+    let late = node("h3", 7_200);
+    let incarnation = Incarnation {
+        target: "a".into(),
+        started_ms: 1,
+    };
+    std::thread::sleep(Duration::from_millis(150));
+    let since = coordinator.clock.now() - 100;
+    coordinator.on_leaving(&incarnation, since, LeavingSource::Host);
+    std::thread::sleep(Duration::from_millis(50));
+    for host in [&follower, &late] {
+        sync(&coordinator, host);
+        let closed_from = host.targets().closed_from(&incarnation, DRAIN_MS);
+        let left_ms = closed_from.map(|it| it.saturating_sub(host.clock.now()));
+        let name = &host.info.name;
+        assert!(left_ms <= Some(DRAIN_MS - 150), "{name}: {left_ms:?}");
+        assert!(left_ms >= Some(DRAIN_MS - 300), "{name}: {left_ms:?}");
+    }
+}
--- a/crates/router/src/peers/coordination.rs
+++ b/crates/router/src/peers/coordination.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Event, HostInfo, Position};
-use crate::state::{CatalogMark, CatalogUpdate};
+use crate::state::{CatalogMark, CatalogUpdate, Departure};
 
 /// Requests for one key.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -73,7 +73,7 @@
     /// Crashes that it observed.
     pub crashes: Vec<Crash>,
     /// Incarnations of targets that, as it knows, are about to stop.
-    pub leaving: Vec<Incarnation>,
+    pub leaving: Vec<Departure>,
     /// Whether the host can reach the store; `None` if it has not tried since its last report.
     pub store: Option<bool>,
     /// Longest time in milliseconds for which the reply may wait for updates.
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -2,11 +2,14 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use coordinator::{Incarnation, Slice};
+use coordinator::Slice;
 use serde::{Deserialize, Serialize};
 
 use super::HostInfo;
-use crate::{ports::Revision, state::TargetEntry};
+use crate::{
+    ports::Revision,
+    state::{Departure, TargetEntry},
+};
 
 /// Events that are kept for hosts that lag; a host that lags further is sent the full state.
 const MAX_EVENTS: usize = 512;
@@ -19,7 +22,7 @@
     /// The names of all registered targets as of a revision of the store.
     Listed(Vec<Arc<str>>, Revision),
     /// An incarnation that has said in an answer that it is about to stop.
-    Leaving(Incarnation),
+    Leaving(Departure),
     /// A slice of a service.
     Slice(Arc<str>, Slice),
     /// All hosts that serve.
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -8,6 +8,7 @@
 mod targets;
 
 pub use catalogs::{CatalogMark, CatalogUpdate, Catalogs};
+pub use departures::Departure;
 pub use store_contact::StoreContact;
 pub use sync_point::SyncPoint;
 pub use target::{TargetEntry, TargetState};
--- a/crates/router/src/state/departures/tests.rs
+++ b/crates/router/src/state/departures/tests.rs
@@ -51,7 +51,10 @@
     departures.learn(&ended, 100);
     departures.learn(&recent, 500);
     departures.forget(400, |it| *it == kept);
-    let left: Vec<u64> = departures.iter().map(|it| it.started_ms).collect();
+    let left: Vec<u64> = departures
+        .iter(500)
+        .map(|it| it.incarnation.started_ms)
+        .collect();
     assert_eq!(left, [1, 3]);
 }
 
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -7,7 +7,11 @@
 
 use coordinator::{Incarnation, Millis};
 
-use super::{TargetEntry, TargetState, departures::Departures, store_contact::REGISTER_AGAIN_MS};
+use super::{
+    TargetEntry, TargetState,
+    departures::{Departure, Departures},
+    store_contact::REGISTER_AGAIN_MS,
+};
 use crate::ports::Revision;
 
 /// Time after which a leaving incarnation that is no longer registered is forgotten.
@@ -96,10 +100,10 @@
         true
     }
 
-    /// Records that an incarnation has said in an answer that it is about to stop; returns whether
-    /// this is new.
-    pub fn on_leaving(&mut self, incarnation: &Incarnation, now: Millis) -> bool {
-        if !self.departures.learn(incarnation, now) {
+    /// Records that an incarnation has said in an answer, at `since` or later, that it is about to
+    /// stop; returns whether this is new.
+    pub fn on_leaving(&mut self, incarnation: &Incarnation, since: Millis) -> bool {
+        if !self.departures.learn(incarnation, since) {
             return false;
         }
         if let Some(known) = self.known.get_mut(&incarnation.target)
@@ -110,7 +114,7 @@
         }
         let known = &self.known;
         self.departures
-            .forget(now.saturating_sub(DEPARTURE_KEEP_MS), |it| {
+            .forget(since.saturating_sub(DEPARTURE_KEEP_MS), |it| {
                 let known = known.get(&it.target);
                 known.is_some_and(|known| known.entry.started_ms == it.started_ms)
             });
@@ -124,13 +128,14 @@
         self.departures.contains(incarnation)
     }
 
-    /// The incarnations that have said in an answer that they are about to stop.
-    pub fn leaving(&self) -> impl Iterator<Item = &Incarnation> {
-        self.departures.iter()
+    /// The incarnations that have said in an answer that they are about to stop, as told to other
+    /// hosts at `now`.
+    pub fn leaving(&self, now: Millis) -> impl Iterator<Item = Departure> {
+        self.departures.iter(now)
     }
 
-    /// Returns the time from which on a leaving incarnation is sent no requests that arrive; `None`
-    /// if it does not leave.
+    /// Returns the time from which on a leaving incarnation is sent no requests; `None` if it does
+    /// not leave.
     #[must_use]
     pub fn closed_from(&self, incarnation: &Incarnation, drain_ms: Millis) -> Option<Millis> {
         self.departures.closed_from(incarnation, drain_ms)
