Ask the store for the configuration each 0.5 s while no host coordinates

Without a coordinator a host asks the relay of its data centre every 0.5 s whether there is a newer version, and the relay spared it the read if it had itself asked in the last 1.5 s: in sum 2 s and the calls, while a version must be in force 2 s after it was accepted (apply_s).

Change: without a coordinator the relay accepts 0.5 s; with one, as before, 1.5 s, because the coordinator announces each version.

configuration/tests.rs::without_a_coordinator_the_relay_asks_the_store_again guards it: the former bound answered with an age of 800 ms, the test allows 500.

--- a/crates/router/src/control/configuration.rs
+++ b/crates/router/src/control/configuration.rs
@@ -10,7 +10,7 @@
 
 use super::watch::read_catalog_changes;
 use crate::{
-    node::{MAX_CATALOG_AGE_MS, NewsSource, Node},
+    node::{NewsSource, Node},
     peers::{CatalogQuery, HostInfo, PeerClient},
 };
 
@@ -30,6 +30,10 @@
 /// Longest wait until another host begins to answer.
 const BEGIN_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Age of a relay's knowledge, when its answer arrives, up to which the answer spares this host a read
+/// of the store.
+const MAX_RELAYED_AGE_MS: u64 = 1_500;
+
 /// Pause after the first failed attempt. It doubles with each further one, so that hosts that cannot
 /// get a version do not use up their links.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -128,7 +132,7 @@
         fresh: true,
     };
     let answer = tokio::time::timeout(RELAY_TIMEOUT, ask(node, relay.peer, query)).await;
-    answer.is_ok_and(|it| it.is_some()) && node.catalog_age_ms() <= MAX_CATALOG_AGE_MS
+    answer.is_ok_and(|it| it.is_some()) && node.catalog_age_ms() <= MAX_RELAYED_AGE_MS
 }
 
 /// The host of this data centre that fetches versions for the others: one with the most power, which
--- a/crates/router/src/control/configuration/tests.rs
+++ b/crates/router/src/control/configuration/tests.rs
@@ -2,8 +2,10 @@
 
 use super::*;
 use crate::{
-    fake::{catalog, node},
-    peers::Hosts,
+    control::catch_up,
+    fake::{EmptyPlatform, catalog, node, node_at},
+    peers::{self, Hosts},
+    ports::Revision,
     state::CatalogMark,
 };
 
@@ -102,3 +104,38 @@
         assert_eq!(asked.get(), case.both, "{:?}", case.first);
     }
 }
+
+/// Guards against a version that takes effect late while no host coordinates: the age that the relay
+/// accepts and the pause of the hosts that ask it add up.
+#[tokio::test]
+async fn without_a_coordinator_the_relay_asks_the_store_again() {
+    let store = Arc::new(EmptyPlatform::with_history(true));
+    let relay = Arc::new(node_at("h1", 7_630, store));
+    relay.adopt_catalog(catalog(4), NewsSource::Store);
+    let mark = CatalogMark {
+        version: 4,
+        rev: Some(Revision::default()),
+    };
+    relay.catalog.confirm(mark, relay.clock.now());
+    relay.set_synced_at(relay.clock.now());
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    let server = peers::bind(Arc::clone(&relay)).await;
+    let tasks = [
+        tokio::spawn(server.expect("the address is free")),
+        tokio::spawn(catch_up(Arc::clone(&relay))),
+    ];
+    let client = PeerClient::connect(relay.settings.peer, CONNECT_TIMEOUT).await;
+    let query = CatalogQuery {
+        known: Some(4),
+        wanted: None,
+        wait_ms: 500,
+        fresh: true,
+    };
+    let client = client.expect("the relay accepts");
+    let answer = client.catalog(query, BEGIN_TIMEOUT).await;
+    let age_ms = answer.expect("the relay answers").age_ms;
+    assert!(age_ms < 500, "{age_ms} ms");
+    for task in tasks {
+        task.abort();
+    }
+}
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -41,7 +41,11 @@
 /// Age in milliseconds up to which a host's knowledge of the newest version of the configuration
 /// spares others a read of the store. It exceeds the time for which the coordinator's own watch of the
 /// store may be outstanding.
-pub const MAX_CATALOG_AGE_MS: u64 = 1_500;
+const MAX_CATALOG_AGE_MS: u64 = 1_500;
+
+/// The same without a coordinator: nothing else tells a host of a new version then, and the host
+/// that asks it has a pause between two questions as well.
+const MAX_CATALOG_AGE_ALONE_MS: u64 = 500;
 
 /// Most bytes of bodies of requests that are being read or wait for their answer: an eighth of the
 /// 260 MB of a host.
@@ -499,6 +503,15 @@
         now.saturating_sub(self.catalog.checked_at())
     }
 
+    /// Age in milliseconds up to which this host's knowledge of the newest version of the
+    /// configuration spares others a read of the store.
+    pub fn max_catalog_age_ms(&self) -> u64 {
+        match self.coordinator() {
+            Some(_) => MAX_CATALOG_AGE_MS,
+            None => MAX_CATALOG_AGE_ALONE_MS,
+        }
+    }
+
     /// Records that this host's state was in sync with the store at `at`.
     pub fn set_synced_at(&self, at: Millis) {
         self.synced_at.fetch_max(at, Ordering::Relaxed);
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     accept::accept,
-    node::{MAX_CATALOG_AGE_MS, News, Node},
+    node::{News, Node},
 };
 
 /// Maximum number of calls of one connection that are served at once.
@@ -119,7 +119,7 @@
             let changed = node.feed_changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let stale = query.fresh && node.catalog_age_ms() > MAX_CATALOG_AGE_MS;
+            let stale = query.fresh && node.catalog_age_ms() > node.max_catalog_age_ms();
             if stale {
                 node.refresh_soon.notify_one();
             }
