Read the list of targets less often, in particular from a store that is away

Cause: every host tried the list of targets each 0.5 s while the store was away, besides the configuration; and with the stricter count of its age a list counted as stale at 1.5 s while the store was slow and the coordinator passed it on.

--- a/crates/router/src/control/catch_up/tests.rs
+++ b/crates/router/src/control/catch_up/tests.rs
@@ -91,3 +91,31 @@
     assert!(targets_age < STALE_MS, "{targets_age} ms");
     assert!(node.age_ms() >= STALE_MS, "the configuration is unknown");
 }
+
+/// Guards against hosts that all read the store while the coordinator still serves them, and against
+/// a list that is read too late to spare the health checks.
+#[test]
+fn the_targets_are_read_before_they_are_asked() {
+    struct Case {
+        drain_ms: Millis,
+        stale_ms: Millis,
+    }
+    let cases = [
+        Case {
+            drain_ms: 1_000,
+            stale_ms: 1_500,
+        },
+        Case {
+            drain_ms: 2_000,
+            stale_ms: 1_500,
+        },
+        Case {
+            drain_ms: 3_000,
+            stale_ms: 2_200,
+        },
+    ];
+    for case in cases {
+        let stale_ms = targets_stale_ms(case.drain_ms);
+        assert_eq!(stale_ms, case.stale_ms, "drain_s {}", case.drain_ms);
+    }
+}
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -26,3 +26,4 @@
 pub use poison::PoisonRequests;
 pub use request::{GatewayRequest, QueueId, WaitLimit};
 pub use serve::bind;
+pub use standing::checked_after_ms;
--- a/crates/router/src/gateway/standing.rs
+++ b/crates/router/src/gateway/standing.rs
@@ -6,6 +6,12 @@
 /// little processor time.
 const SEND_MARGIN_MS: Millis = 300;
 
+/// Time without a sign that a target serves after which it is asked, given the time for which a
+/// leaving target serves.
+pub fn checked_after_ms(drain_ms: Millis) -> Millis {
+    drain_ms - SEND_MARGIN_MS.min(drain_ms / 2)
+}
+
 /// What a gateway knows of a target at the moment of sending.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Standing {
@@ -21,8 +27,7 @@
     /// The standing at `now` of a target that was known at `known` not to leave, and serves for
     /// `drain_ms` when it does.
     pub(super) fn of_serving(known: Millis, now: Millis, drain_ms: Millis) -> Self {
-        let margin = SEND_MARGIN_MS.min(drain_ms / 2);
-        if now < known + drain_ms - margin {
+        if now < known + checked_after_ms(drain_ms) {
             Self::Serving
         } else {
             Self::Unknown
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -165,7 +165,7 @@
     resigned: AtomicU64,
     /// When this host's state was last in sync with the store.
     synced_at: AtomicU64,
-    /// When the list of targets was; at least `synced_at`.
+    /// When the list of targets was, which a task of its own keeps up to date.
     targets_synced_at: AtomicU64,
 }
 
@@ -515,7 +515,6 @@
     /// Records that this host's state was in sync with the store at `at`.
     pub fn set_synced_at(&self, at: Millis) {
         self.synced_at.fetch_max(at, Ordering::Relaxed);
-        self.set_targets_synced_at(at);
         self.synced.store(true, Ordering::Relaxed);
     }
 
