--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -16,7 +16,7 @@
 
 /// How long the store holds a watch while there are no updates. A connection that went silent is
 /// noticed after this time, and no host knows more recently what the store has accepted.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(700);
+const WATCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How long the store holds a call that only reads what has changed so far.
 const NO_WAIT: Duration = Duration::from_millis(1);
