Do not take the start of a process for a sign that targets serve

Cause: the time at which the list of targets was in sync is 0 until it was, and 0 is also the start of the process, so that for its first 1.7 s a host took every target that it heard of for serving. A host that had never read the list told others the age of its process as the age of the list; an age before the start of the receiving process became 0 as well.

Change: a list that was never in sync, or before the start of the process, is no evidence; targets are asked then. Replies state the age only if it is known.

--- a/crates/router/src/control/catch_up.rs
+++ b/crates/router/src/control/catch_up.rs
@@ -83,7 +83,7 @@
             Some(_) => sent.min(node.catalog.checked_at()),
             None => sent,
         };
-        if !stale || !read || node.targets_synced_at() == 0 {
+        if !stale || !read || node.targets_synced_at().is_none() {
             continue;
         }
         let slices_read_at = *slices_read.get_or_insert_with(|| sent.saturating_sub(delay_ms()));
--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -452,7 +452,7 @@
             return Standing::Left;
         }
         drop(targets);
-        let answered = self.with_member(|it| it.serving_at).unwrap_or_default();
+        let answered = self.with_member(|it| it.serving_at).flatten();
         let known = answered.max(node.targets_synced_at());
         Standing::of_serving(known, now, drain_ms)
     }
@@ -460,7 +460,7 @@
     /// Records that the answer to a request which was sent at `sent` shows that the target did not
     /// leave then.
     pub(super) fn on_serving(&self, sent: Millis) {
-        self.with_member(|it| it.serving_at = it.serving_at.max(sent));
+        self.with_member(|it| it.serving_at = it.serving_at.max(Some(sent)));
     }
 
     /// Leaves the target alone for a while, because it may have left.
--- a/crates/router/src/gateway/member.rs
+++ b/crates/router/src/gateway/member.rs
@@ -25,8 +25,9 @@
     pub(super) mean_ms: Option<f64>,
     /// From this time on no requests are sent to it, because it is about to stop.
     pub(super) closed_from: Option<Millis>,
-    /// When the latest request was sent to it whose answer shows that it did not leave then.
-    pub(super) serving_at: Millis,
+    /// When the latest request was sent to it whose answer shows that it did not leave then; `None` if
+    /// there was none.
+    pub(super) serving_at: Option<Millis>,
     /// Until when it is left alone, because it may have left and did not say that it serves.
     pub(super) doubted_until: Millis,
     /// When it was last sent a request.
@@ -44,7 +45,7 @@
             pause: Pause::default(),
             mean_ms: None,
             closed_from: None,
-            serving_at: 0,
+            serving_at: None,
             doubted_until: 0,
             last_used: 0,
         }
--- a/crates/router/src/gateway/standing.rs
+++ b/crates/router/src/gateway/standing.rs
@@ -24,13 +24,12 @@
 }
 
 impl Standing {
-    /// The standing at `now` of a target that was known at `known` not to leave, and serves for
-    /// `drain_ms` when it does.
-    pub(super) fn of_serving(known: Millis, now: Millis, drain_ms: Millis) -> Self {
-        if now < known + checked_after_ms(drain_ms) {
-            Self::Serving
-        } else {
-            Self::Unknown
+    /// The standing at `now` of a target that was known at `known` not to leave, if ever, and serves
+    /// for `drain_ms` when it does.
+    pub(super) fn of_serving(known: Option<Millis>, now: Millis, drain_ms: Millis) -> Self {
+        match known {
+            Some(known) if now < known + checked_after_ms(drain_ms) => Self::Serving,
+            Some(_) | None => Self::Unknown,
         }
     }
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -165,7 +165,8 @@
     resigned: AtomicU64,
     /// When this host's state was last in sync with the store.
     synced_at: AtomicU64,
-    /// When the list of targets was, which a task of its own keeps up to date.
+    /// When the list of targets was, which a task of its own keeps up to date; 0 if never since the
+    /// start of this process.
     targets_synced_at: AtomicU64,
 }
 
@@ -418,7 +419,9 @@
                 event => self.apply(event, NewsSource::Host),
             };
         }
-        self.set_targets_synced_at(sent.saturating_sub(reply.targets_age_ms));
+        if let Some(age_ms) = reply.targets_age_ms {
+            self.set_targets_synced_at(sent.saturating_sub(age_ms));
+        }
         {
             let mut feed = self.feed();
             if !reply.complete {
@@ -471,7 +474,7 @@
             catalog: self.catalog.mark(),
             catalog_age: self.catalog_age_ms(),
             age_ms: self.age_ms(),
-            targets_age_ms: self.targets_age_ms(),
+            targets_age_ms: self.targets_synced_at().map(|_| self.targets_age_ms()),
             held_ms: 0,
         }
     }
@@ -482,14 +485,18 @@
         now.saturating_sub(self.synced_at.load(Ordering::Relaxed))
     }
 
-    /// Milliseconds since this host's list of targets was in sync with the store.
+    /// Milliseconds since this host's list of targets was in sync with the store, or since the start
+    /// of this process if it never was.
     pub fn targets_age_ms(&self) -> u64 {
-        self.clock.now().saturating_sub(self.targets_synced_at())
+        let synced_at = self.targets_synced_at().unwrap_or_default();
+        self.clock.now().saturating_sub(synced_at)
     }
 
-    /// When this host's list of targets was last in sync with the store.
-    pub fn targets_synced_at(&self) -> Millis {
-        self.targets_synced_at.load(Ordering::Relaxed)
+    /// When this host's list of targets was last in sync with the store; `None` if not since the
+    /// start of this process.
+    pub fn targets_synced_at(&self) -> Option<Millis> {
+        let at = self.targets_synced_at.load(Ordering::Relaxed);
+        (at > 0).then_some(at)
     }
 
     /// Records that this host's list of targets was in sync with the store at `at`.
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -230,3 +230,23 @@
         assert!(left_ms >= Some(DRAIN_MS - 300), "{name}: {left_ms:?}");
     }
 }
+
+/// Guards against requests to targets that have left, because a host has heard of them from one that
+/// does not know how old its own list is.
+#[test]
+fn a_list_of_unknown_age_is_no_sign_that_targets_serve() {
+    let (started, follower) = (node("h1", 7_000), node("h2", 7_100));
+    started.announce(vec![target("a", 1)]);
+    std::thread::sleep(Duration::from_millis(20));
+    let unknown_position = Position { term: 9, number: 0 };
+    let reply = started.reply_to(unknown_position);
+    follower.apply_reply(reply, follower.clock.now());
+    assert!(follower.targets().get("a").is_some());
+    assert_eq!(follower.targets_synced_at(), None);
+    let before_its_start = follower.clock.now() + 1_000;
+    started.set_targets_synced_at(1);
+    let mut reply = started.reply_to(unknown_position);
+    reply.targets_age_ms = Some(before_its_start);
+    follower.apply_reply(reply, follower.clock.now());
+    assert_eq!(follower.targets_synced_at(), None);
+}
--- a/crates/router/src/peers/coordination.rs
+++ b/crates/router/src/peers/coordination.rs
@@ -107,8 +107,9 @@
     pub catalog_age: u64,
     /// Staleness: milliseconds since the configuration and the targets were in sync with the store.
     pub age_ms: u64,
-    /// Milliseconds since the targets were in sync with the store.
-    pub targets_age_ms: u64,
+    /// Milliseconds since the targets were in sync with the store; `None` if the replying host has
+    /// never known that.
+    pub targets_age_ms: Option<u64>,
     /// Milliseconds for which the replying host held the report. The reply was sent this long after
     /// the report at the earliest, however late it arrives.
     pub held_ms: u64,
