Make the test of a list of unknown age fail on the former code

The test of passed with the former reply put back: the host that had never read its list was older than the one that heard from it, so that the age of its process already lay before the other's start. It is now the younger one: the test fails with the former reply (1 of 1 run) and passes on the code as it is.

--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -235,9 +235,10 @@
 /// does not know how old its own list is.
 #[test]
 fn a_list_of_unknown_age_is_no_sign_that_targets_serve() {
-    let (started, follower) = (node("h1", 7_000), node("h2", 7_100));
-    started.announce(vec![target("a", 1)]);
+    let follower = node("h2", 7_100);
     std::thread::sleep(Duration::from_millis(20));
+    let started = node("h1", 7_000);
+    started.announce(vec![target("a", 1)]);
     let unknown_position = Position { term: 9, number: 0 };
     let reply = started.reply_to(unknown_position);
     follower.apply_reply(reply, follower.clock.now());
