--- a/crates/refusal/src/reason.rs
+++ b/crates/refusal/src/reason.rs
@@ -69,6 +69,10 @@
     OutcomeUnknown,
     /// the byte budget of the link between regions is used up
     LinkBudget,
+    /// no target in the regions that the route allows can be reached
+    RegionUnavailable,
+    /// all data centres that the route allows are evacuated
+    PlaceEvacuated,
     /// the host has no configuration in force
     NotReady,
     /// the host is stopping
@@ -77,7 +81,7 @@
 
 impl Reason {
     /// All reasons, in the order of the documentation.
-    pub const ALL: [Self; 31] = [
+    pub const ALL: [Self; 33] = [
         Self::UnknownService,
         Self::KeyMissing,
         Self::KeyInvalid,
@@ -107,6 +111,8 @@
         Self::ClaimUnavailable,
         Self::OutcomeUnknown,
         Self::LinkBudget,
+        Self::RegionUnavailable,
+        Self::PlaceEvacuated,
         Self::NotReady,
         Self::Stopping,
     ];
@@ -144,6 +150,8 @@
             Self::ClaimUnavailable => "claim_unavailable",
             Self::OutcomeUnknown => "outcome_unknown",
             Self::LinkBudget => "link_budget",
+            Self::RegionUnavailable => "region_unavailable",
+            Self::PlaceEvacuated => "place_evacuated",
             Self::NotReady => "not_ready",
             Self::Stopping => "stopping",
         }
@@ -185,6 +193,8 @@
             | Self::OwnerUnreachable
             | Self::ClaimUnavailable
             | Self::LinkBudget
+            | Self::RegionUnavailable
+            | Self::PlaceEvacuated
             | Self::NotReady
             | Self::Stopping => 503,
         }
@@ -218,9 +228,12 @@
             | Self::NoOwner
             | Self::NotGateway
             | Self::DeadlineBeforeStart => Some(500),
-            Self::OwnerUnreachable | Self::ClaimUnavailable | Self::LinkBudget | Self::NotReady => {
-                Some(1_000)
-            }
+            Self::OwnerUnreachable
+            | Self::ClaimUnavailable
+            | Self::LinkBudget
+            | Self::RegionUnavailable
+            | Self::PlaceEvacuated
+            | Self::NotReady => Some(1_000),
             _ => None,
         }
     }
--- a/crates/router/src/control/configuration.rs
+++ b/crates/router/src/control/configuration.rs
@@ -11,7 +11,8 @@
 use super::watch::read_catalog_changes;
 use crate::{
     node::{NewsSource, Node},
-    peers::{CatalogQuery, HostInfo, PeerClient},
+    peers::{CatalogQuery, Event, HostInfo, PeerClient},
+    state::Evacuation,
 };
 
 /// Name under which the hosts of a data centre are ranked as its relay.
@@ -167,6 +168,14 @@
         let catalog = node.catalog.resolve(update)?;
         node.adopt_catalog(catalog, NewsSource::Host);
     }
+    let way_ms = node.clock.now().saturating_sub(asked);
+    let evacuations = answer.evacuations.into_iter().map(|it| {
+        Event::Evacuation(Evacuation {
+            age_ms: it.age_ms + way_ms,
+            ..it
+        })
+    });
+    node.announce(evacuations.collect());
     if let Some(mark) = answer.mark {
         // The answer may have been on its way for long, but the host has known this since the call.
         node.catalog
--- a/crates/router/src/control/tenure/plan.rs
+++ b/crates/router/src/control/tenure/plan.rs
@@ -6,7 +6,7 @@
     Demand, GrantTiming, Incarnation, Millis, SliceManager,
     balance::{Candidate, OwnedRange, assign_ranges, rebalance},
 };
-use routing::Ownership;
+use routing::{Ownership, Regions};
 
 use super::{BALANCE_INTERVAL_MS, KeyedService, Tenure};
 use crate::{
@@ -82,7 +82,8 @@
             if service.ownership == Ownership::Shared {
                 continue;
             }
-            self.plan_service(&service.name, balance, now);
+            let regions = catalog.key_regions(&service.name);
+            self.plan_service(&service.name, &regions, balance, now);
         }
     }
 
@@ -112,7 +113,7 @@
         }
     }
 
-    fn plan_service(&mut self, service: &Arc<str>, balance: bool, now: Millis) {
+    fn plan_service(&mut self, service: &Arc<str>, regions: &Regions, balance: bool, now: Millis) {
         if !self.services.contains_key(service) {
             let keyed = self.new_service(service, now);
             self.services.insert(Arc::clone(service), keyed);
@@ -124,6 +125,7 @@
             .expect("service was inserted above");
         let members = {
             let targets = self.node.targets();
+            let mut elsewhere = Vec::new();
             let mut members = ServiceTargets {
                 incarnations: Vec::new(),
                 usable: Vec::new(),
@@ -141,15 +143,27 @@
                 let registered = targets.get(name).is_some();
                 let unresponsive_since = keyed.manager.unresponsive_since(name);
                 let answers = unresponsive_since.is_none_or(|it| now < it + TARGET_SILENT_MS);
-                if registered && entry.state == TargetState::Ready && answers {
+                let in_use = !self.node.evacuations().is_active(&entry.place);
+                if registered && in_use && entry.state == TargetState::Ready && answers {
                     let speed_factor = if entry.cold_ms > 0 { COLD_SPEED } else { 1.0 };
                     let capacity = f64::from(entry.slots) * keyed.demand.speed(name) * speed_factor;
-                    members.usable.push(Candidate {
+                    let region = self.node.settings.region(&entry.place);
+                    let allowed = regions.is_empty() || regions.contains(region);
+                    let usable = if allowed {
+                        &mut members.usable
+                    } else {
+                        &mut elsewhere
+                    };
+                    usable.push(Candidate {
                         incarnation,
                         capacity,
                     });
                 }
             }
+            // Without a target in the regions that all routes allow, the unrestricted ones go on.
+            if members.usable.is_empty() {
+                members.usable = elsewhere;
+            }
             members
         };
         keyed.plan(members, balance, now);
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -11,7 +11,7 @@
     node::{NewsSource, Node},
     peers::Event,
     ports::{Read, Revision, StoreError, Topic, Update},
-    state::{CatalogMark, SyncPoint},
+    state::{CatalogMark, Evacuation, SyncPoint},
 };
 
 /// How long the store holds a watch while there are no updates. A connection that went silent is
@@ -193,9 +193,16 @@
     let mut read_again = false;
     let mut events = Vec::new();
     let mut names = Vec::new();
+    let mut evacuated = Vec::new();
     for record in read.records {
         match record.update {
             Update::Catalog(catalog) => node.adopt_catalog(catalog, NewsSource::Store),
+            Update::Evacuation(place, active) => {
+                if active {
+                    evacuated.push(Arc::clone(&place));
+                }
+                events.push(evacuation(node, place, record.rev, active));
+            }
             Update::Target(name, None) if may_return && node.targets().get(&name).is_some() => {
                 node.leave_out_removals();
                 read_again = true;
@@ -211,6 +218,23 @@
         events.push(Event::Listed(names, read.rev));
         read_again |= may_return;
     }
+    if complete && topic == Topic::Catalog {
+        let returned = node.evacuations().missing_from(&evacuated, read.rev);
+        for place in returned {
+            events.push(evacuation(node, place, read.rev, false));
+        }
+    }
     node.announce(events);
     read_again.then_some(complete_at)
 }
+
+/// The news that a data centre is evacuated or in use again. The store may have accepted that just
+/// after this host last knew what the operator has written.
+fn evacuation(node: &Node, place: Arc<str>, rev: Revision, active: bool) -> Event {
+    Event::Evacuation(Evacuation {
+        place,
+        rev,
+        active,
+        age_ms: node.catalog_age_ms(),
+    })
+}
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod connection;
 mod deliver;
+mod places;
 mod read_ahead;
 mod request;
 mod retry_budgets;
--- a/crates/router/src/entry/connection.rs
+++ b/crates/router/src/entry/connection.rs
@@ -163,7 +163,7 @@
             let Ok(routed) = RoutedRequest::new(&self.node, parts) else {
                 continue;
             };
-            if routed.route.repeat == Repeat::Forbidden {
+            if routed.route.repeat != Repeat::Allowed {
                 continue;
             }
             let node = Arc::clone(&self.node);
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -3,19 +3,24 @@
 use std::{sync::Arc, time::Duration};
 
 use admission::RetryVerdict;
-use coordinator::Millis;
+use coordinator::{Key, Millis};
 use http::Response;
 use http_body::Body as _;
 use refusal::{Ran, Reason, Refusal};
 use routing::Repeat;
+use smallvec::SmallVec;
 
-use super::{request::RoutedRequest, server::Body};
+use super::{
+    places::{distance, usable_for},
+    request::RoutedRequest,
+    server::Body,
+};
 use crate::{
     gateway::{self, AttemptOutcome, GatewayRequest, LeavingTarget, QueueId, WaitLimit},
     node::{LeavingSource, Node},
-    observe::{Distance, RequestTrace},
+    observe::RequestTrace,
     peers::HostInfo,
-    state::TargetState,
+    state::Access,
 };
 
 /// Longest pause before the owner of a request's key is looked up again.
@@ -126,10 +131,13 @@
     ) -> AttemptOutcome {
         let node = self.node;
         let began = node.clock.now();
-        let Some((queue, wait_limit)) = self.choose_queue() else {
-            let outcome = AttemptOutcome::not_sent(Reason::NoOwner);
-            trace.step(None, &node.info.name, began, &outcome);
-            return outcome;
+        let (queue, wait_limit) = match self.choose_queue() {
+            Ok(chosen) => chosen,
+            Err(reason) => {
+                let outcome = AttemptOutcome::not_sent(reason);
+                trace.step(None, &node.info.name, began, &outcome);
+                return outcome;
+            }
         };
         if let QueueId::Target(target) = &queue
             && self.is_closed(target)
@@ -212,13 +220,24 @@
                 self.excluded.push(gateway_request.queue.clone());
                 Ok(())
             }
+            // The data centre was evacuated while the request waited there.
+            Reason::TargetDraining
+                if gateway_request.key.is_none()
+                    && !self.excluded.contains(&gateway_request.queue) =>
+            {
+                self.excluded.push(gateway_request.queue.clone());
+                Ok(())
+            }
             Reason::OwnerUnreachable | Reason::TargetUnreachable
                 if gateway_request.key.is_none() =>
             {
                 self.excluded.push(gateway_request.queue.clone());
                 Ok(())
             }
+            // Keys that are owned outside the allowed regions are being moved.
+            Reason::RegionUnavailable if gateway_request.key.is_none() => Err(self.refusal(reason)),
             Reason::NoOwner
+            | Reason::RegionUnavailable
             | Reason::NotGateway
             | Reason::Fenced
             | Reason::OwnerUnreachable
@@ -240,7 +259,7 @@
         self.ran = Ran::Unknown;
         self.possible_runs += 1;
         let route = &self.request.route;
-        if route.repeat == Repeat::Forbidden || self.possible_runs >= route.attempts {
+        if route.repeat != Repeat::Allowed || self.possible_runs >= route.attempts {
             return Err(self.refusal(reason));
         }
         let now = self.node.clock.now();
@@ -260,77 +279,64 @@
         refusal
     }
 
-    /// Chooses the queue for the next attempt, and how long the request may wait in it.
+    /// Chooses the queue for the next attempt, and how long the request may wait in it; the error is
+    /// the reason why there is none.
     ///
     /// Without a key, this is the queue of the nearest data centre that is not excluded. If all are
     /// excluded, the nearest one that is not in a pause is tried again, and the request waits there
     /// until its deadline.
-    fn choose_queue(&self) -> Option<(QueueId, WaitLimit)> {
+    fn choose_queue(&self) -> Result<(QueueId, WaitLimit), Reason> {
         let node = self.node;
         let gateway_request = &self.request.gateway_request;
         if let Some(key) = gateway_request.key {
-            let tables = node.tables();
-            let slice = tables.get(&gateway_request.service)?.find(key)?;
-            let target = Arc::clone(&slice.owner.target);
-            return Some((QueueId::Target(target), WaitLimit::Deadline));
-        }
-        let mut places = self.places(TargetState::Ready);
-        if places.is_empty() {
-            places = self.places(TargetState::Leaving);
+            return Ok((self.owner_of(key)?, WaitLimit::Deadline));
         }
-        let queues = places.into_iter().map(|(_, place)| QueueId::Pool {
+        let places = usable_for(node, self.request)?;
+        let queues = places.into_iter().map(|place| QueueId::Pool {
             service: Arc::clone(&gateway_request.service),
             place,
         });
-        let queues: Vec<QueueId> = queues.collect();
+        let queues: SmallVec<[QueueId; 4]> = queues.collect();
         let untried = queues.iter().find(|it| !self.excluded.contains(it));
         match untried {
-            Some(queue) if queues.len() > 1 => Some((queue.clone(), WaitLimit::Objective)),
+            Some(queue) if queues.len() > 1 => Ok((queue.clone(), WaitLimit::Objective)),
             _ => {
                 let unpaused = queues.iter().find(|it| !self.paused.contains(it));
-                let last = unpaused.or(queues.first())?;
-                Some((last.clone(), WaitLimit::Deadline))
+                let last = unpaused.or(queues.first()).ok_or(Reason::NoOwner)?;
+                Ok((last.clone(), WaitLimit::Deadline))
             }
         }
     }
 
-    /// Whether a target is about to stop, and is sent no requests any more.
-    fn is_closed(&self, target: &Arc<str>) -> bool {
-        let targets = self.node.targets();
-        let Some(entry) = targets.get(target) else {
-            return false;
-        };
-        let closed_from = targets.closed_from(&entry.incarnation(target), self.node.drain_ms());
-        closed_from.is_some_and(|it| self.node.clock.now() >= it)
-    }
-
-    /// The data centres where the service has a target in `state`, nearest first.
-    fn places(&self, state: TargetState) -> Vec<(Distance, Arc<str>)> {
+    /// The queue of the target that owns a key, if the route may use its region.
+    fn owner_of(&self, key: Key) -> Result<QueueId, Reason> {
         let node = self.node;
-        let mut places: Vec<(Distance, Arc<str>)> = Vec::new();
-        for (_, entry) in node.targets().registered() {
-            if entry.service != self.request.gateway_request.service || entry.state != state {
-                continue;
-            }
-            if places.iter().any(|it| it.1 == entry.place) {
-                continue;
-            }
-            places.push((distance(node, &entry.place), Arc::clone(&entry.place)));
+        let tables = node.tables();
+        let table = tables.get(&self.request.gateway_request.service);
+        let slice = table.and_then(|it| it.find(key)).ok_or(Reason::NoOwner)?;
+        let owner = Arc::clone(&slice.owner.target);
+        drop(tables);
+        let targets = node.targets();
+        let place = targets.get(&owner).map(|it| &it.place);
+        let allowed = place.is_none_or(|it| self.request.route.allows(node.settings.region(it)));
+        if allowed {
+            Ok(QueueId::Target(owner))
+        } else {
+            Err(Reason::RegionUnavailable)
         }
-        places.sort();
-        places
     }
-}
 
-/// Classifies the distance from this host to a data centre.
-fn distance(node: &Node, place: &Arc<str>) -> Distance {
-    let own = &node.settings.place;
-    if place == own {
-        Distance::SamePlace
-    } else if node.settings.region(place) == node.settings.region(own) {
-        Distance::SameRegion
-    } else {
-        Distance::OtherRegion
+    /// Whether a target is sent no requests any more, because it is about to stop or its data centre
+    /// is evacuated.
+    fn is_closed(&self, target: &Arc<str>) -> bool {
+        let node = self.node;
+        let now = node.clock.now();
+        let targets = node.targets();
+        let Some(entry) = targets.get(target) else {
+            return false;
+        };
+        let closed_from = targets.closed_from(&entry.incarnation(target), node.drain_ms());
+        closed_from.is_some_and(|it| now >= it) || node.access(&entry.place, now) == Access::Closed
     }
 }
 
--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -1,6 +1,7 @@
 //! The admission queue of one target, or of a pool of interchangeable targets.
 
 mod pause;
+mod slot_guard;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -8,18 +9,14 @@
     time::Duration,
 };
 
-use admission::{
-    Decision, Decisions, HealthOutcome, OfferResult, Queue, QueueLimits, RequestEnd, Ticket,
-};
-use coordinator::{Incarnation, Key, Millis};
-use pool::Pool;
+use admission::{Decision, Decisions, OfferResult, Queue, QueueLimits, RequestEnd, Ticket};
+use coordinator::{Key, Millis};
 use process::BootClock;
 use refusal::Reason;
 use tokio::sync::oneshot;
 
-use super::{
-    GatewayRequest, QueueId, WaitLimit, member::Member, pauses::Pauses, standing::Standing,
-};
+pub(super) use self::slot_guard::SlotGuard;
+use super::{GatewayRequest, QueueId, WaitLimit, member::Member, pauses::Pauses};
 use crate::{
     node::Node,
     peers::{KeyCount, RouteCost, TargetLoad},
@@ -39,9 +36,6 @@
 /// Interval at which a single request is still sent to a target for keys whose grant has expired.
 const EXPIRED_RETRY_MS: u64 = 150;
 
-/// Time for which a target that may have left, and did not say that it serves, is left alone.
-const DOUBT_MS: Millis = 1_000;
-
 /// Longest time between two refreshes of the state of targets while a request waits.
 const MAX_REFRESH_INTERVAL_MS: u64 = 250;
 
@@ -58,8 +52,8 @@
     /// Waiting requests by id, with the channel for the decision about each.
     waiting: HashMap<u64, oneshot::Sender<Decision>>,
     next_id: u64,
-    /// Version of the target list that `members` was built from.
-    version: Option<u64>,
+    /// Versions of the targets and the evacuations that `members` was built from.
+    version: Option<(u64, u64)>,
     members: Vec<Member>,
     /// The end of the first pause if no member takes requests because of pauses.
     paused_until: Option<Millis>,
@@ -90,19 +84,6 @@
     pub wait_ms: u64,
 }
 
-/// The slot of a running request; freed on drop.
-pub(super) struct SlotGuard {
-    queue: Arc<AdmissionQueue>,
-    id: u64,
-    started: Millis,
-    route: Arc<str>,
-    ended: bool,
-    /// The target that runs it.
-    pub(super) incarnation: Incarnation,
-    /// Connections to the target.
-    pub(super) pool: Arc<Pool>,
-}
-
 impl AdmissionQueue {
     pub(super) fn new(id: QueueId, clock: BootClock, pauses: Arc<Mutex<Pauses>>) -> Self {
         let limits = QueueLimits {
@@ -302,15 +283,7 @@
         };
         member.running += 1;
         member.last_used = now;
-        Ok(SlotGuard {
-            queue: Arc::clone(self),
-            id,
-            started: now,
-            route: Arc::clone(&request.route),
-            ended: false,
-            incarnation: member.entry.incarnation(&member.name),
-            pool: Arc::clone(&member.pool),
-        })
+        Ok(SlotGuard::new(self, id, now, &request.route, member))
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -322,8 +295,10 @@
     /// Updates the members from the list of targets, and the limits of the queue from the members.
     fn refresh(&mut self, node: &Node, pauses: &Mutex<Pauses>, service: &str, now: Millis) {
         let targets = node.targets();
-        if self.version != Some(targets.version()) {
-            self.version = Some(targets.version());
+        let evacuations = node.evacuations();
+        let version = (targets.version(), evacuations.version());
+        if self.version != Some(version) {
+            self.version = Some(version);
             let connections = node
                 .catalog
                 .load()
@@ -359,7 +334,9 @@
                 if pause.until > member.pause.until {
                     member.pause = pause;
                 }
-                member.closed_from = targets.closed_from(&incarnation, node.drain_ms());
+                let departs = targets.closed_from(&incarnation, node.drain_ms());
+                let evacuated = evacuations.closed_from(&entry.place, node.evacuation_ms());
+                member.closed_from = departs.into_iter().chain(evacuated).min();
                 match entry.state {
                     TargetState::Ready => self.members.push(member),
                     TargetState::Leaving | TargetState::Draining => leaving.push(member),
@@ -370,6 +347,7 @@
                 self.members = leaving;
             }
         }
+        drop(evacuations);
         drop(targets);
         self.update_limits(now);
     }
@@ -436,92 +414,3 @@
         inner.notify(decisions);
     }
 }
-
-impl SlotGuard {
-    /// Whether the target may be sent a request now.
-    pub(super) fn standing(&self, node: &Node) -> Standing {
-        let now = self.queue.clock.now();
-        let drain_ms = node.drain_ms();
-        let targets = node.targets();
-        let entry = targets.get(&self.incarnation.target);
-        let current = entry.filter(|it| {
-            it.started_ms == self.incarnation.started_ms && it.state != TargetState::Draining
-        });
-        let closed_from = targets.closed_from(&self.incarnation, drain_ms);
-        if current.is_none() || closed_from.is_some_and(|it| now >= it) {
-            return Standing::Left;
-        }
-        drop(targets);
-        let answered = self.with_member(|it| it.serving_at).flatten();
-        let known = answered.max(node.targets_synced_at());
-        Standing::of_serving(known, now, drain_ms)
-    }
-
-    /// Records that the answer to a request which was sent at `sent` shows that the target did not
-    /// leave then.
-    pub(super) fn on_serving(&self, sent: Millis) {
-        self.with_member(|it| it.serving_at = it.serving_at.max(Some(sent)));
-    }
-
-    /// Leaves the target alone for a while, because it may have left.
-    pub(super) fn doubt(&self) {
-        let until = self.queue.clock.now() + DOUBT_MS;
-        self.with_member(|it| it.doubted_until = until);
-    }
-
-    /// Whether the target is in a pause.
-    pub(super) fn is_paused(&self) -> bool {
-        let pause = self.queue.pauses().get(&self.incarnation);
-        pause.is_active(self.queue.clock.now())
-    }
-
-    /// Records that the target asked for a pause. Returns whether it was not in one.
-    pub(super) fn on_pause(&self, pause_ms: Millis) -> bool {
-        self.queue.on_pause(&self.incarnation, pause_ms)
-    }
-
-    fn with_member<T>(&self, read: impl FnOnce(&mut Member) -> T) -> Option<T> {
-        let mut inner = self.queue.lock();
-        let is_own = |it: &&mut Member| {
-            it.name == self.incarnation.target && it.entry.started_ms == self.incarnation.started_ms
-        };
-        inner.members.iter_mut().find(is_own).map(read)
-    }
-
-    /// Frees the slot; `outcome` is what the request revealed about the target's health.
-    pub(super) fn end(mut self, end: RequestEnd, outcome: Option<HealthOutcome>) {
-        self.finish(end, outcome);
-    }
-
-    fn finish(&mut self, end: RequestEnd, outcome: Option<HealthOutcome>) {
-        if self.ended {
-            return;
-        }
-        self.ended = true;
-        let now = self.queue.clock.now();
-        let took = now.saturating_sub(self.started);
-        let mut inner = self.queue.lock();
-        if end == RequestEnd::Answered {
-            let cost = inner.costs.entry(Arc::clone(&self.route)).or_default();
-            cost.0 += 1;
-            cost.1 += took;
-        }
-        let members = &mut inner.members;
-        if let Some(member) = members
-            .iter_mut()
-            .find(|it| it.name == self.incarnation.target)
-        {
-            member.on_end(now, took, outcome);
-        }
-        // The slots of a target whose pause has ended return step by step.
-        inner.update_limits(now);
-        let decisions = inner.queue.finish(now, self.id, took, end);
-        inner.notify(decisions);
-    }
-}
-
-impl Drop for SlotGuard {
-    fn drop(&mut self) {
-        self.finish(RequestEnd::Cancelled, None);
-    }
-}
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -1,8 +1,11 @@
 //! State that the tasks of one host share.
 //!
-//! **Lock order.** `targets`, `tables`, `feed`, `queues`, the lock of a queue, then
-//! that of the pauses. No lock is held
-//! across an await.
+//! **Lock order.** `targets`, `evacuations`, `tables`, `feed`, `queues`, the lock of a queue, then
+//! that of the pauses. No lock is held across an await.
+
+mod freshness;
+mod news;
+mod replication;
 
 use std::{
     collections::HashMap,
@@ -14,7 +17,7 @@
 };
 
 use arc_swap::ArcSwap;
-use coordinator::{Incarnation, Millis, SliceTable};
+use coordinator::{Millis, SliceTable};
 use pool::AnswerLimits;
 use process::BootClock;
 use routing::{Catalog, Picker};
@@ -25,81 +28,23 @@
     gateway::{AdmissionQueues, Forwarder, PoisonRequests},
     grace_period::GracePeriod,
     observe::{LineKind, LogLimiter, Metrics, ObservedStore},
-    peers::{Event, Feed, HostInfo, Hosts, Position, Report, ReportReply},
-    ports::{ProtocolProfile, Revision, Store, TargetApi},
+    peers::{Feed, HostInfo, Hosts, Report},
+    ports::{ProtocolProfile, Store, TargetApi},
     run::Ports,
     settings::Settings,
-    state::{Catalogs, Departure, StoreContact, TargetEntry, TargetState, Targets},
+    state::{Access, Catalogs, Evacuations, StoreContact, Targets},
 };
 
+pub use self::news::{LeavingSource, News, NewsSource};
+
 /// Slices by service.
 pub type Tables = HashMap<Arc<str>, SliceTable>;
 
-/// Most bytes of answers that are being read at the same time: a quarter of the 260 MB of a host.
-const MAX_ANSWERS_BYTES: usize = 64 << 20;
-
-/// Age in milliseconds up to which a host's knowledge of the newest version of the configuration
-/// spares others a read of the store. It exceeds the time for which the coordinator's own watch of the
-/// store may be outstanding.
-const MAX_CATALOG_AGE_MS: u64 = 1_500;
-
-/// The same without a coordinator: nothing else tells a host of a new version then, and the host
-/// that asks it has a pause between two questions as well.
-const MAX_CATALOG_AGE_ALONE_MS: u64 = 500;
-
-/// Most bytes of bodies of requests that are being read or wait for their answer: an eighth of the
-/// 260 MB of a host.
-const MAX_REQUESTS_BYTES: usize = 32 << 20;
-
-/// What another host lacks.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum News {
-    /// Nothing.
-    None,
-    /// A version of the configuration, which must be in force everywhere within seconds.
-    Urgent,
-    /// Events.
-    Usual,
-}
-
-/// Where this host received news from.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum NewsSource {
-    /// Another host.
-    Host,
-    /// The store.
-    Store,
-}
-
-/// How a host learns that a target is about to stop.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LeavingSource {
-    /// From an answer of the target.
-    Target,
-    /// From an answer of the target to its gateway.
-    Gateway,
-    /// From a report or an event of another host.
-    Host,
-}
+/// Part of a host's memory for bodies of answers that are being read at the same time.
+const ANSWERS_SHARE: usize = 4;
 
-impl LeavingSource {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Target => "target",
-            Self::Gateway => "gateway",
-            Self::Host => "host",
-        }
-    }
-}
-
-impl NewsSource {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Host => "host",
-            Self::Store => "store",
-        }
-    }
-}
+/// Part of a host's memory for bodies of requests that are being read or wait for their answer.
+const REQUESTS_SHARE: usize = 8;
 
 /// State that the tasks of one host share.
 pub struct Node {
@@ -152,6 +97,7 @@
     /// The grace period; set before `stopping` becomes true.
     pub grace_period: OnceLock<GracePeriod>,
     targets: RwLock<Targets>,
+    evacuations: RwLock<Evacuations>,
     tables: RwLock<Tables>,
     feed: Mutex<Feed>,
     pickers: Mutex<HashMap<Arc<str>, Picker>>,
@@ -202,8 +148,8 @@
             target_api: ports.target_api,
             catalog: Catalogs::default(),
             queues: AdmissionQueues::new(clock),
-            answer_limits: AnswerLimits::new(MAX_BODY_BYTES, MAX_ANSWERS_BYTES),
-            request_limits: AnswerLimits::new(MAX_BODY_BYTES, MAX_REQUESTS_BYTES),
+            answer_limits: body_limits(&settings, ANSWERS_SHARE),
+            request_limits: body_limits(&settings, REQUESTS_SHARE),
             forwarder: Forwarder::new(),
             retry_budgets: RetryBudgets::new(
                 settings.bounds.retry_ratio,
@@ -218,6 +164,7 @@
             stopping: watch::Sender::new(false),
             grace_period: OnceLock::new(),
             targets: RwLock::default(),
+            evacuations: RwLock::default(),
             tables: RwLock::default(),
             feed: Mutex::default(),
             pickers: Mutex::default(),
@@ -247,6 +194,16 @@
         self.targets.read().expect("lock is not poisoned")
     }
 
+    /// Locks the evacuations for reading.
+    pub fn evacuations(&self) -> RwLockReadGuard<'_, Evacuations> {
+        self.evacuations.read().expect("lock is not poisoned")
+    }
+
+    /// What may be sent to the targets of a data centre at `now`.
+    pub fn access(&self, place: &str, now: Millis) -> Access {
+        self.evacuations().access(place, now, self.evacuation_ms())
+    }
+
     /// Locks the slices for reading.
     pub fn tables(&self) -> RwLockReadGuard<'_, Tables> {
         self.tables.read().expect("lock is not poisoned")
@@ -323,211 +280,14 @@
         }
     }
 
-    /// Records that a target has said in an answer, at `since` or later, that it is about to stop, and
-    /// tells other hosts: the coordinator by an event, any other host in its next report, which is
-    /// sent at once.
-    pub fn on_leaving(&self, incarnation: &Incarnation, since: Millis, from: LeavingSource) {
-        let known = self.targets().is_leaving(incarnation);
-        if known || !self.learn_leaving(incarnation, since, from) {
-            return;
-        }
-        if self.is_coordinator() {
-            let departure = Departure {
-                incarnation: incarnation.clone(),
-                age_ms: self.clock.now().saturating_sub(since),
-            };
-            self.feed().push(Event::Leaving(departure));
-            self.feed_changed.notify_waiters();
-        } else {
-            self.report_soon.notify_one();
-        }
-        self.state_changed.notify_waiters();
-    }
-
     /// Time in milliseconds for which a leaving target is sent requests.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "the settings bound the time to 3600 s"
-    )]
     pub fn drain_ms(&self) -> Millis {
-        (self.settings.bounds.drain * 1_000.0) as Millis
-    }
-
-    /// What a host lacks that knows all events up to `known`, and has heard of the version `catalog`
-    /// of the configuration.
-    pub fn news_after(&self, known: Position, catalog: Option<u64>) -> News {
-        if catalog < self.catalog.version() {
-            News::Urgent
-        } else if known == self.feed().position() {
-            News::None
-        } else {
-            News::Usual
-        }
-    }
-
-    /// Applies events and publishes them to other hosts.
-    ///
-    /// Only the coordinator numbers events. What another host read from the store itself is not
-    /// part of the sequence, so that host rewinds its position and is sent everything again.
-    pub fn announce(&self, events: Vec<Event>) {
-        let coordinates = self.is_coordinator();
-        let mut changed = false;
-        for event in events {
-            if !self.apply(&event, NewsSource::Store) {
-                continue;
-            }
-            changed = true;
-            if coordinates {
-                self.feed().push(event);
-            }
-        }
-        if changed && !coordinates {
-            self.feed().rewind();
-        }
-        if changed {
-            self.state_changed.notify_waiters();
-            self.feed_changed.notify_waiters();
-        }
-    }
-
-    /// Applies the reply of another host, which was sent at `sent` or later, and adopts its position
-    /// in the sequence, so that this host can pass the events on.
-    pub fn apply_reply(&self, reply: ReportReply, sent: Millis) {
-        if let Some(mark) = reply.catalog {
-            self.catalog.announce(Some(mark.version));
-            let checked_at = sent.saturating_sub(reply.catalog_age);
-            self.catalog.confirm(mark, checked_at);
-        }
-        let synced_at = sent.saturating_sub(reply.age_ms);
-        self.set_synced_at(synced_at);
-        self.store_contact().on_sync(synced_at, self.clock.now());
-        let new_term = reply.position.term != self.feed().position().term;
-        if reply.is_from_coordinator()
-            && new_term
-            && self.poison_requests.report_again(self.clock.now())
-        {
-            self.report_soon.notify_one();
-        }
-        let mut changed = false;
-        for event in &reply.events {
-            changed |= match event {
-                Event::Leaving(it) => {
-                    let since = sent.saturating_sub(it.age_ms);
-                    self.learn_leaving(&it.incarnation, since, LeavingSource::Host)
-                }
-                event => self.apply(event, NewsSource::Host),
-            };
-        }
-        if let Some(age_ms) = reply.targets_age_ms {
-            self.set_targets_synced_at(sent.saturating_sub(age_ms));
-        }
-        {
-            let mut feed = self.feed();
-            if !reply.complete {
-                feed.extend(reply.from, reply.position, reply.events);
-            } else if reply.is_from_coordinator() || feed.position() < reply.position {
-                // The coordinator's position is adopted even if it is behind.
-                feed.restart(reply.position);
-            }
-        }
-        if changed {
-            self.state_changed.notify_waiters();
-        }
-        self.feed_changed.notify_waiters();
-    }
-
-    /// Builds the reply to a host that knows everything up to `known`.
-    pub fn reply_to(&self, known: Position) -> ReportReply {
-        let (position, mut events) = {
-            let feed = self.feed();
-            (feed.position(), feed.after(known))
-        };
-        let now = self.clock.now();
-        for event in events.iter_mut().flatten() {
-            let Event::Leaving(departure) = event else {
-                continue;
-            };
-            let targets = self.targets();
-            let mut leaving = targets.leaving(now);
-            if let Some(it) = leaving.find(|it| it.incarnation == departure.incarnation) {
-                *departure = it;
-            }
-        }
-        let complete = events.is_none();
-        let own = self.info.peer;
-        let coordinator = if self.is_coordinator() {
-            Some(own)
-        } else {
-            // Outdated information may still name this host.
-            self.coordinator().filter(|it| *it != own)
-        };
-        ReportReply {
-            peer: own,
-            coordinator,
-            needs_successor: self.needs_successor(),
-            resigned: Some(self.resigned.load(Ordering::Relaxed)).filter(|it| *it > 0),
-            from: known,
-            position,
-            complete,
-            events: events.unwrap_or_else(|| self.full_state()),
-            catalog: self.catalog.mark(),
-            catalog_age: self.catalog_age_ms(),
-            age_ms: self.age_ms(),
-            targets_age_ms: self.targets_synced_at().map(|_| self.targets_age_ms()),
-            held_ms: 0,
-        }
-    }
-
-    /// Staleness: milliseconds since this host's state was in sync with the store.
-    pub fn age_ms(&self) -> u64 {
-        let now = self.clock.now();
-        now.saturating_sub(self.synced_at.load(Ordering::Relaxed))
-    }
-
-    /// Milliseconds since this host's list of targets was in sync with the store, or since the start
-    /// of this process if it never was.
-    pub fn targets_age_ms(&self) -> u64 {
-        let synced_at = self.targets_synced_at().unwrap_or_default();
-        self.clock.now().saturating_sub(synced_at)
-    }
-
-    /// When this host's list of targets was last in sync with the store; `None` if not since the
-    /// start of this process.
-    pub fn targets_synced_at(&self) -> Option<Millis> {
-        let at = self.targets_synced_at.load(Ordering::Relaxed);
-        (at > 0).then_some(at)
-    }
-
-    /// Records that this host's list of targets was in sync with the store at `at`.
-    pub fn set_targets_synced_at(&self, at: Millis) {
-        self.targets_synced_at.fetch_max(at, Ordering::Relaxed);
+        bound_ms(self.settings.bounds.drain)
     }
 
-    /// Milliseconds since the version in force was known to be the newest one.
-    pub fn catalog_age_ms(&self) -> u64 {
-        let now = self.clock.now();
-        now.saturating_sub(self.catalog.checked_at())
-    }
-
-    /// Age in milliseconds up to which this host's knowledge of the newest version of the
-    /// configuration spares others a read of the store.
-    pub fn max_catalog_age_ms(&self) -> u64 {
-        match self.coordinator() {
-            Some(_) => MAX_CATALOG_AGE_MS,
-            None => MAX_CATALOG_AGE_ALONE_MS,
-        }
-    }
-
-    /// Records that this host's state was in sync with the store at `at`.
-    pub fn set_synced_at(&self, at: Millis) {
-        self.synced_at.fetch_max(at, Ordering::Relaxed);
-        self.synced.store(true, Ordering::Relaxed);
-    }
-
-    /// Whether this host's state has been in sync with the store since its start.
-    pub fn is_synced(&self) -> bool {
-        self.synced.load(Ordering::Relaxed)
+    /// Time in milliseconds after which an evacuated data centre is sent nothing.
+    pub fn evacuation_ms(&self) -> Millis {
+        bound_ms(self.settings.bounds.evacuation)
     }
 
     /// Whether the host accepts requests.
@@ -582,135 +342,6 @@
         self.targets().removals_left_out() && self.clock.now() >= self.targets_complete_at()
     }
 
-    /// The full state of this host as events.
-    fn full_state(&self) -> Vec<Event> {
-        let mut events = Vec::new();
-        for (name, rev, entry) in self.targets().revisions() {
-            events.push(Event::Target(name, rev, entry));
-        }
-        events.extend(self.targets().list().map(|it| Event::Listed(it.0, it.1)));
-        let now = self.clock.now();
-        events.extend(self.targets().leaving(now).map(Event::Leaving));
-        for (service, table) in &*self.tables() {
-            for slice in table.iter() {
-                events.push(Event::Slice(Arc::clone(service), slice.clone()));
-            }
-        }
-        events.push(Event::Hosts(self.hosts.load().iter().cloned().collect()));
-        let quarantined = self.poison_requests.quarantined(self.clock.now());
-        events.extend(quarantined.into_iter().map(Event::Poison));
-        events
-    }
-
-    /// Applies one event; returns whether it changed the state.
-    fn apply(&self, event: &Event, from: NewsSource) -> bool {
-        match event {
-            Event::Target(name, rev, entry) => {
-                let now = self.clock.now();
-                let changed = self.targets_mut().apply(name, *rev, entry.clone(), now);
-                if changed {
-                    self.observe_change(name, *rev, entry.as_ref(), from);
-                }
-                changed
-            }
-            Event::Listed(names, rev) => {
-                self.apply_list(names, *rev, from);
-                true
-            }
-            Event::Leaving(it) => {
-                let since = self.clock.now().saturating_sub(it.age_ms);
-                self.learn_leaving(&it.incarnation, since, LeavingSource::Host)
-            }
-            Event::Slice(service, slice) => {
-                let mut tables = self.tables.write().expect("lock is not poisoned");
-                let table = tables.entry(Arc::clone(service)).or_default();
-                table.merge(slice)
-            }
-            Event::Hosts(list) => self.set_hosts(Hosts::new(list.iter().cloned())),
-            Event::HostCame(host) => self.set_hosts(self.hosts.load().with(host.clone())),
-            Event::HostLeft(name) => self.set_hosts(self.hosts.load().without(name)),
-            Event::Poison(fingerprint) => self
-                .poison_requests
-                .quarantine(*fingerprint, self.clock.now()),
-        }
-    }
-
-    /// Logs the change of a target. If it leaves, records how long ago the store may have accepted
-    /// that.
-    fn observe_change(
-        &self,
-        name: &str,
-        rev: Revision,
-        entry: Option<&TargetEntry>,
-        from: NewsSource,
-    ) {
-        let unheard_ms = self.targets_age_ms();
-        let state = entry.map(|it| it.state);
-        if matches!(state, None | Some(TargetState::Draining)) {
-            self.metrics.departure_news(from.label(), unheard_ms);
-        }
-        if let Some(left_out) = self.may_log(LineKind::StateChange) {
-            let address = entry.map(|it| it.address);
-            log::info!(
-                target_name = name, rev:%, state:?, address:?, from = from.label(), unheard_ms,
-                left_out;
-                "a target changed"
-            );
-        }
-    }
-
-    /// Drops the targets that are missing from a complete list as of `rev`, which hosts that have just
-    /// started cannot name. Targets that may register again are kept.
-    fn apply_list(&self, names: &[Arc<str>], rev: Revision, from: NewsSource) {
-        let missing = self.targets().missing_from(names, rev);
-        let may_return = self.clock.now() < self.targets_complete_at();
-        {
-            let mut targets = self.targets_mut();
-            targets.set_listed(rev);
-            targets.set_removals_left_out(may_return && !missing.is_empty());
-        }
-        for name in missing.into_iter().filter(|_| !may_return) {
-            self.apply(&Event::Target(name, rev, None), from);
-        }
-    }
-
-    /// Records that a target has said at `since` or later that it is about to stop; returns whether
-    /// this is new.
-    fn learn_leaving(&self, incarnation: &Incarnation, since: Millis, from: LeavingSource) -> bool {
-        if !self.targets_mut().on_leaving(incarnation, since) {
-            return false;
-        }
-        self.metrics.leaving(from.label());
-        if let Some(left_out) = self.may_log(LineKind::StateChange) {
-            log::info!(
-                target_name = &*incarnation.target,
-                born = incarnation.started_ms,
-                from = from.label(),
-                left_out;
-                "a target is about to stop"
-            );
-        }
-        true
-    }
-
-    /// Replaces the hosts that serve; returns whether they changed.
-    fn set_hosts(&self, hosts: Hosts) -> bool {
-        let known = self.hosts.load();
-        if **known == hosts {
-            return false;
-        }
-        if let Some(left_out) = self.may_log(LineKind::StateChange) {
-            log::info!(
-                came = hosts.names_missing_from(&known),
-                left = known.names_missing_from(&hosts),
-                left_out;
-                "the hosts that serve changed"
-            );
-        }
-        self.hosts.store(Arc::new(hosts));
-        true
-    }
-
     fn store_contact(&self) -> MutexGuard<'_, StoreContact> {
         self.store_contact.lock().expect("lock is not poisoned")
     }
@@ -720,5 +351,20 @@
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the settings limit bounds to 3600 s"
+)]
+fn bound_ms(seconds: f64) -> Millis {
+    (seconds * 1_000.0) as Millis
+}
+
+/// Limits of bodies that together may take a part of the host's memory.
+fn body_limits(settings: &Settings, share: usize) -> AnswerLimits {
+    let memory = usize::try_from(settings.memory_mb).unwrap_or(usize::MAX);
+    AnswerLimits::new(MAX_BODY_BYTES, memory.saturating_mul(1 << 20) / share)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -1,12 +1,14 @@
 use std::time::Duration;
 
+use coordinator::Incarnation;
 use tokio::sync::mpsc;
 
 use super::*;
 use crate::{
     fake::{catalog, node},
+    peers::{Event, Position},
     ports::Revision,
-    state::{TargetEntry, TargetState},
+    state::{Access, Evacuation, TargetEntry, TargetState},
 };
 
 fn target(name: &str, number: u64) -> Event {
@@ -251,3 +253,35 @@
     follower.apply_reply(reply, follower.clock.now());
     assert_eq!(follower.targets_synced_at(), None);
 }
+
+/// Guards against a host that keeps sending requests to an evacuated data centre, because it missed
+/// the event, got it late or was sent the full state instead.
+#[test]
+fn evacuations_reach_other_hosts_with_their_age() {
+    let evacuation = |number, active, age_ms| {
+        Event::Evacuation(Evacuation {
+            place: "palermo".into(),
+            rev: Revision {
+                generation: 0,
+                number,
+            },
+            active,
+            age_ms,
+        })
+    };
+    let (coordinator, follower) = pair();
+    coordinator.announce(vec![evacuation(5, true, 4_900)]);
+    let late = node("h3", 7_200);
+    for host in [&follower, &late] {
+        sync(&coordinator, host);
+        let now = host.clock.now();
+        assert_eq!(host.access("palermo", now), Access::Closed);
+        assert_eq!(host.access("catania", now), Access::Open);
+    }
+    coordinator.announce(vec![evacuation(9, false, 0)]);
+    sync(&coordinator, &follower);
+    assert_eq!(
+        follower.access("palermo", follower.clock.now()),
+        Access::Open
+    );
+}
--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -52,6 +52,8 @@
     former_holds: Counter<u64>,
     departures: Counter<u64>,
     leaving_targets: Gauge<u64>,
+    evacuated_places: Gauge<u64>,
+    unknown_kinds: Gauge<u64>,
     departure_news_ms: Histogram<f64>,
     target_checks: Counter<u64>,
     hop_bytes: Counter<u64>,
@@ -83,6 +85,8 @@
             former_holds: counter("former_holds"),
             departures: counter("departures_learned"),
             leaving_targets: meter.u64_gauge("leaving_targets").build(),
+            evacuated_places: meter.u64_gauge("evacuated_places").build(),
+            unknown_kinds: meter.u64_gauge("routes_of_unknown_kind").build(),
             target_checks: counter("target_checks"),
             departure_news_ms: histogram("departure_news_ms"),
             hop_bytes: counter("hop_body_bytes"),
@@ -190,6 +194,16 @@
         self.leaving_targets.record(count, &[]);
     }
 
+    /// Records the number of evacuated data centres.
+    pub fn evacuated_places(&self, count: usize) {
+        self.evacuated_places.record(count as u64, &[]);
+    }
+
+    /// Records the number of routes in the configuration whose kind is not known.
+    pub fn unknown_kinds(&self, count: usize) {
+        self.unknown_kinds.record(count as u64, &[]);
+    }
+
     /// Counts the body bytes of a forwarded request and of its answer.
     pub fn hop(&self, distance: Distance, sent: u64, received: u64) {
         for (direction, bytes) in [("sent", sent), ("received", received)] {
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use routing::Repeat;
 use tokio::net::TcpListener;
 
 use crate::{accept::accept, node::Node};
@@ -35,6 +36,9 @@
     if request.uri().path() == "/metrics" {
         node.metrics.leaving_targets(node.targets().leaving_count());
         node.metrics.paused_targets(node.queues.paused_targets());
+        node.metrics
+            .evacuated_places(node.evacuations().active_count());
+        node.metrics.unknown_kinds(unknown_kinds(node));
         return Response::new(Full::new(node.metrics.render().into()));
     }
     let (status, text) = match request.uri().path() {
@@ -47,3 +51,9 @@
     *response.status_mut() = status;
     response
 }
+
+fn unknown_kinds(node: &Node) -> usize {
+    let catalog = node.catalog.load();
+    let routes = catalog.iter().flat_map(|it| it.routes());
+    routes.filter(|it| it.repeat == Repeat::Unknown).count()
+}
--- a/crates/router/src/peers/coordination.rs
+++ b/crates/router/src/peers/coordination.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Event, HostInfo, Position};
-use crate::state::{CatalogMark, CatalogUpdate, Departure};
+use crate::state::{CatalogMark, CatalogUpdate, Departure, Evacuation};
 
 /// Requests for one key.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -145,6 +145,8 @@
     pub mark: Option<CatalogMark>,
     /// Milliseconds since that version was known to be the newest one.
     pub age_ms: u64,
+    /// The evacuations that the answering host knows.
+    pub evacuations: Vec<Evacuation>,
 }
 
 /// Messages between hosts.
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -8,7 +8,7 @@
 use super::HostInfo;
 use crate::{
     ports::Revision,
-    state::{Departure, TargetEntry},
+    state::{Departure, Evacuation, TargetEntry},
 };
 
 /// Events that are kept for hosts that lag; a host that lags further is sent the full state.
@@ -23,6 +23,8 @@
     Listed(Vec<Arc<str>>, Revision),
     /// An incarnation that has said in an answer that it is about to stop.
     Leaving(Departure),
+    /// A data centre that is evacuated or in use again.
+    Evacuation(Evacuation),
     /// A slice of a service.
     Slice(Arc<str>, Slice),
     /// All hosts that serve.
--- a/crates/router/src/peers/server.rs
+++ b/crates/router/src/peers/server.rs
@@ -137,6 +137,7 @@
             update: node.catalog.update_since(query.known),
             mark: node.catalog.mark(),
             age_ms: node.catalog_age_ms(),
+            evacuations: node.evacuations().iter(node.clock.now()).collect(),
         }
     }
 }
--- a/crates/router/src/ports/store.rs
+++ b/crates/router/src/ports/store.rs
@@ -14,7 +14,7 @@
 /// A set of records that others write to the store.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Topic {
-    /// The configuration.
+    /// The configuration and the evacuations.
     Catalog,
     /// The registered targets.
     Targets,
@@ -25,6 +25,8 @@
 pub enum Update {
     /// A version of the configuration.
     Catalog(Arc<Catalog>),
+    /// Whether a data centre is evacuated.
+    Evacuation(Arc<str>, bool),
     /// A target; `None` if it was removed or its entry is not usable.
     Target(Arc<str>, Option<TargetEntry>),
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -6,6 +6,13 @@
 use serde::Deserialize;
 use thiserror::Error;
 
+/// Memory of a host whose settings do not state it, in megabytes.
+const DEFAULT_MEMORY_MB: u32 = 260;
+
+/// Time after which an evacuated data centre is sent no more requests, if the settings do not state
+/// it, in seconds.
+const DEFAULT_EVACUATION_S: f64 = 5.0;
+
 /// Settings of a host. Unknown fields are ignored, so that the platform can add some.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Settings {
@@ -33,6 +40,9 @@
     pub advertised: Advertised,
     /// CPU share of the host in cores.
     pub cores: f64,
+    /// Memory of the host in megabytes.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: u32,
     /// The platform's store.
     pub store: StoreSettings,
     /// Bounds that the platform sets.
@@ -64,6 +74,9 @@
     /// Time after which a draining target is sent no more requests.
     #[serde(rename = "drain_s")]
     pub drain: f64,
+    /// Time after which the targets of an evacuated data centre are sent no more requests.
+    #[serde(default = "default_evacuation", rename = "evac_s")]
+    pub evacuation: f64,
     /// Grace period between the request to stop and the end of the process.
     #[serde(rename = "grace_s")]
     pub grace: f64,
@@ -76,6 +89,14 @@
     pub retry_window: f64,
 }
 
+fn default_memory_mb() -> u32 {
+    DEFAULT_MEMORY_MB
+}
+
+fn default_evacuation() -> f64 {
+    DEFAULT_EVACUATION_S
+}
+
 /// Why settings are invalid.
 #[derive(Debug, Display, Error)]
 pub enum SettingsError {
@@ -160,9 +181,13 @@
         if !(0.001..=1_000.0).contains(&self.cores) {
             return Some(("cores", "must be between 0.001 and 1000"));
         }
+        if !(16..=1_048_576).contains(&self.memory_mb) {
+            return Some(("memory_mb", "must be between 16 and 1048576"));
+        }
         let times = [
             ("bounds.max_hold_s", self.bounds.max_hold),
             ("bounds.drain_s", self.bounds.drain),
+            ("bounds.evac_s", self.bounds.evacuation),
             ("bounds.grace_s", self.bounds.grace),
             ("bounds.retry_window_s", self.bounds.retry_window),
         ];
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -2,6 +2,7 @@
 
 mod catalogs;
 mod departures;
+mod evacuations;
 mod store_contact;
 mod sync_point;
 mod target;
@@ -9,6 +10,7 @@
 
 pub use catalogs::{CatalogMark, CatalogUpdate, Catalogs};
 pub use departures::Departure;
+pub use evacuations::{Access, Evacuation, Evacuations};
 pub use store_contact::StoreContact;
 pub use sync_point::SyncPoint;
 pub use target::{TargetEntry, TargetState};
--- a/crates/routing/src/catalog.rs
+++ b/crates/routing/src/catalog.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CatalogError, Route, Service};
+use crate::{CatalogError, Regions, Route, Service, Share};
 
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -127,6 +127,24 @@
         self.services.values()
     }
 
+    /// The regions in which keys of a service may be owned, so that all its routes can use them;
+    /// empty if that is all regions. Routes that have no region in common leave no restriction.
+    #[must_use]
+    pub fn key_regions(&self, service: &str) -> Regions {
+        let mut common: Option<Regions> = None;
+        for route in self.routes() {
+            let uses = |it: &Share| *it.service == *service && it.weight > 0;
+            if route.regions.is_empty() || !route.shares.iter().any(uses) {
+                continue;
+            }
+            match &mut common {
+                None => common = Some(route.regions.clone()),
+                Some(common) => common.retain(|it| route.allows(it)),
+            }
+        }
+        common.unwrap_or_default()
+    }
+
     /// Returns all routes of all hosts.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,8 +14,8 @@
 pub use catalog::{Catalog, CatalogParts, HostRoutes, Limits};
 pub use catalog_change::CatalogChange;
 pub use catalog_error::CatalogError;
-pub use route::{Repeat, Route};
-pub use service::{Ownership, Service};
+pub use route::{Regions, Repeat, Route};
+pub use service::{ColdLimit, Ownership, Service};
 pub use share::{Picker, Share, Shares};
 
 #[cfg(test)]
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::Shares;
 
@@ -13,8 +14,14 @@
     Allowed,
     /// The request runs at most once.
     Forbidden,
+    /// The configuration states a kind that this version does not know. The request runs at most
+    /// once, so that nothing is repeated by mistake.
+    Unknown,
 }
 
+/// Names of regions; most routes name none or one.
+pub type Regions = SmallVec<[Arc<str>; 2]>;
+
 /// How requests whose path begins with a prefix are handled.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
@@ -36,4 +43,14 @@
     pub attempts: u32,
     /// The services that share the requests.
     pub shares: Shares,
+    /// The regions in which requests may run; empty if they may run in all.
+    pub regions: Regions,
+}
+
+impl Route {
+    /// Whether requests may run in a region.
+    #[must_use]
+    pub fn allows(&self, region: &str) -> bool {
+        self.regions.is_empty() || self.regions.iter().any(|it| **it == *region)
+    }
 }
--- a/crates/routing/src/service.rs
+++ b/crates/routing/src/service.rs
@@ -17,6 +17,15 @@
     },
 }
 
+/// The load that a target without warm caches bears.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ColdLimit {
+    /// How long a target stays cold after its start, in milliseconds.
+    pub warmup_ms: u64,
+    /// Milliseconds between two requests at the rate that a cold target tolerates.
+    pub interval_ms: u64,
+}
+
 /// A service.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Service {
@@ -28,4 +37,6 @@
     pub connections: u32,
     /// Which targets may run a request.
     pub ownership: Ownership,
+    /// Limit of requests to cold targets; `None` if there is none.
+    pub cold: Option<ColdLimit>,
 }
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -3,8 +3,8 @@
 use smallvec::smallvec;
 
 use crate::{
-    Catalog, CatalogChange, CatalogError, CatalogParts, Limits, Ownership, Picker, Repeat, Route,
-    Service, Share,
+    Catalog, CatalogChange, CatalogError, CatalogParts, Limits, Ownership, Picker, Regions, Repeat,
+    Route, Service, Share,
 };
 
 fn route(prefix: &str, service: &str) -> Route {
@@ -20,6 +20,7 @@
             service: service.into(),
             weight: 1,
         }],
+        regions: Regions::new(),
     }
 }
 
@@ -32,6 +33,7 @@
             health: "/healthz".into(),
             connections: 10,
             ownership: Ownership::Shared,
+            cold: None,
         }],
         limits: Limits {
             head_bytes: 16_384,
@@ -189,3 +191,60 @@
         assert_eq!(back.apply(&new), Ok(old), "{}", case.name);
     }
 }
+
+/// Guards against keys that are owned where a restricted route must not send its requests.
+#[test]
+fn keys_are_owned_where_all_routes_may_go() {
+    struct Case {
+        name: &'static str,
+        /// The regions of each route of the service.
+        routes: &'static [&'static [&'static str]],
+        regions: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "no route is restricted",
+            routes: &[&[], &[]],
+            regions: &[],
+        },
+        Case {
+            name: "one of two is restricted",
+            routes: &[&[], &["est"]],
+            regions: &["est"],
+        },
+        Case {
+            name: "two share a region",
+            routes: &[&["est", "ovest"], &["ovest"]],
+            regions: &["ovest"],
+        },
+        Case {
+            name: "two have none in common",
+            routes: &[&["est"], &["ovest"]],
+            regions: &[],
+        },
+    ];
+    for case in cases {
+        let mut routes = Vec::new();
+        for (idx, regions) in case.routes.iter().enumerate() {
+            routes.push(Route {
+                regions: regions.iter().map(|it| Arc::from(*it)).collect(),
+                ..route(&format!("/{idx}/"), "archive")
+            });
+        }
+        // A route of another service restricts nothing.
+        routes.push(Route {
+            regions: smallvec!["nord".into()],
+            ..route("/other/", "other")
+        });
+        let mut parts = parts(routes);
+        let other = Service {
+            name: "other".into(),
+            ..parts.services[0].clone()
+        };
+        parts.services.push(other);
+        let catalog = Catalog::new(parts).expect("the parts are valid");
+        let regions = catalog.key_regions("archive");
+        let regions: Vec<&str> = regions.iter().map(|it| &**it).collect();
+        assert_eq!(regions, case.regions, "{}", case.name);
+    }
+}
