Choose as the gateway of a large queue a host that can carry it

The ranking of gateways now puts hosts first that meet the processor time and bandwidth that the slots of a queue need. Queues of few slots and small bodies are ranked as before.

--- a/crates/router/src/control/configuration.rs
+++ b/crates/router/src/control/configuration.rs
@@ -11,7 +11,7 @@
 use super::watch::read_catalog_changes;
 use crate::{
     node::{NewsSource, Node},
-    peers::{CatalogQuery, Event, HostInfo, PeerClient},
+    peers::{CatalogQuery, Event, GatewayNeed, HostInfo, PeerClient},
     state::Evacuation,
 };
 
@@ -146,7 +146,9 @@
         return None;
     }
     let now = node.clock.now();
-    let ranked = hosts.ranked(&node.info.place, RELAY).into_iter();
+    let ranked = hosts
+        .ranked(&node.info.place, RELAY, GatewayNeed::default())
+        .into_iter();
     let usable = ranked.filter(|it| !node.suspects.is_suspect(&it.name, now));
     let relay = usable.min_by_key(|it| Reverse(it.power))?;
     (relay.name != node.info.name).then(|| relay.clone())
--- a/crates/router/src/control/configuration/tests.rs
+++ b/crates/router/src/control/configuration/tests.rs
@@ -19,6 +19,7 @@
         place: place.into(),
         peer: SocketAddr::from(([127, 0, 0, 1], peer)),
         power,
+        link_mbps: 1_000,
         ..own.info.clone()
     };
     let near = [
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -19,7 +19,7 @@
     gateway::{self, AttemptOutcome, GatewayRequest, LeavingTarget, QueueId, WaitLimit},
     node::{LeavingSource, Node},
     observe::RequestTrace,
-    peers::HostInfo,
+    peers::{GatewayNeed, HostInfo},
     state::Access,
 };
 
@@ -148,7 +148,8 @@
         }
         gateway_request.queue = queue;
         gateway_request.wait_limit = wait_limit;
-        let other = gateway_of(node, &gateway_request.queue).filter(|it| it.name != node.info.name);
+        let other = gateway_of(node, &gateway_request.service, &gateway_request.queue)
+            .filter(|it| it.name != node.info.name);
         let (outcome, host) = match &other {
             Some(host) => (self.forward(gateway_request, host).await, &host.name),
             None => (gateway::run(node, gateway_request).await, &node.info.name),
@@ -341,14 +342,21 @@
 }
 
 /// The host that is the gateway of a queue; if `None`, this host acts as the gateway.
-fn gateway_of(node: &Node, queue: &QueueId) -> Option<HostInfo> {
-    let place = match queue {
-        QueueId::Pool { place, .. } => Arc::clone(place),
-        QueueId::Target(target) => Arc::clone(&node.targets().get(target)?.place),
+fn gateway_of(node: &Node, service: &str, queue: &QueueId) -> Option<HostInfo> {
+    let catalog = node.catalog.load();
+    let bulk = catalog.as_ref().is_some_and(|it| it.is_bulk(service));
+    let (place, slots) = match queue {
+        QueueId::Pool { place, .. } => (Arc::clone(place), node.targets().slots_at(service, place)),
+        QueueId::Target(target) => {
+            let targets = node.targets();
+            let entry = targets.get(target)?;
+            (Arc::clone(&entry.place), entry.slots)
+        }
     };
+    let need = GatewayNeed::of_slots(slots, bulk);
     let hosts = node.hosts.load();
     let now = node.clock.now();
-    let mut ranked = hosts.ranked(&place, &queue.to_string()).into_iter();
+    let mut ranked = hosts.ranked(&place, &queue.to_string(), need).into_iter();
     ranked
         .find(|it| !node.suspects.is_suspect(&it.name, now))
         .cloned()
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -125,6 +125,7 @@
             peer: settings.advertised.peer.unwrap_or(settings.peer),
             forward: settings.advertised.forward.unwrap_or(settings.forward),
             power: settings.power(),
+            link_mbps: settings.whole_mbps(),
             incarnation: rand::random(),
         };
         let clock = BootClock::new();
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -19,5 +19,5 @@
     ReportReply, RouteCost, TargetLoad,
 };
 pub use feed::{Event, Feed, Position};
-pub use hosts::{HostInfo, Hosts};
+pub use hosts::{GatewayNeed, HostInfo, Hosts};
 pub use server::bind;
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -9,6 +9,9 @@
 /// Memory of a host whose settings do not state it, in megabytes.
 const DEFAULT_MEMORY_MB: u32 = 260;
 
+/// Bandwidth of a host whose settings do not state it, in Mbit/s.
+const DEFAULT_LINK_MBPS: f64 = 1_000.0;
+
 /// Time after which an evacuated data centre is sent no more requests, if the settings do not state
 /// it, in seconds.
 const DEFAULT_EVACUATION_S: f64 = 5.0;
@@ -40,6 +43,9 @@
     pub advertised: Advertised,
     /// CPU share of the host in cores.
     pub cores: f64,
+    /// Bandwidth of the host's link in Mbit/s.
+    #[serde(default = "default_link_mbps")]
+    pub link_mbps: f64,
     /// Memory of the host in megabytes.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: u32,
@@ -93,6 +99,10 @@
     DEFAULT_MEMORY_MB
 }
 
+fn default_link_mbps() -> f64 {
+    DEFAULT_LINK_MBPS
+}
+
 fn default_evacuation() -> f64 {
     DEFAULT_EVACUATION_S
 }
@@ -152,6 +162,17 @@
         (self.cores.clamp(0.001, 1_000.0) * 1_000.0) as u32
     }
 
+    /// Bandwidth of the host's link in whole Mbit/s, at least 1.
+    #[must_use]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the range is checked"
+    )]
+    pub fn whole_mbps(&self) -> u32 {
+        self.link_mbps.clamp(1.0, 1e6) as u32
+    }
+
     /// The region of a data centre; an unknown data centre is a region of its own.
     #[must_use]
     pub fn region<'a>(&'a self, place: &'a Arc<str>) -> &'a Arc<str> {
@@ -181,6 +202,9 @@
         if !(0.001..=1_000.0).contains(&self.cores) {
             return Some(("cores", "must be between 0.001 and 1000"));
         }
+        if !(0.001..=1e6).contains(&self.link_mbps) {
+            return Some(("link_mbps", "must be between 0.001 and 1000000"));
+        }
         if !(16..=1_048_576).contains(&self.memory_mb) {
             return Some(("memory_mb", "must be between 16 and 1048576"));
         }
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -228,6 +228,14 @@
         known.map(|(name, it)| (name, &it.entry))
     }
 
+    /// The slots of all registered targets of a service in a data centre together.
+    #[must_use]
+    pub fn slots_at(&self, service: &str, place: &str) -> u32 {
+        let belongs = |it: &&Arc<TargetEntry>| *it.service == *service && *it.place == *place;
+        let entries = self.registered().map(|it| it.1).filter(belongs);
+        entries.map(|it| it.slots).sum()
+    }
+
     /// The targets that are or were registered and may still run.
     pub fn all(&self) -> impl Iterator<Item = (&Arc<str>, &Arc<TargetEntry>)> {
         self.known.iter().map(|(name, it)| (name, &it.entry))
--- a/crates/routing/src/catalog.rs
+++ b/crates/routing/src/catalog.rs
@@ -1,10 +1,13 @@
 //! One version of the configuration.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CatalogError, Regions, Route, Service, Share};
+use crate::{CatalogError, Regions, Route, Service, Share, Volume};
 
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -43,6 +46,8 @@
     hosts: BTreeMap<Arc<str>, HostRoutes>,
     services: BTreeMap<Arc<str>, Arc<Service>>,
     limits: Limits,
+    /// Services that have a route with large bodies.
+    bulk: BTreeSet<Arc<str>>,
 }
 
 impl Catalog {
@@ -79,7 +84,16 @@
                 by_length.then_with(|| a.prefix.cmp(&b.prefix))
             });
         }
+        let mut bulk = BTreeSet::new();
+        for route in hosts.values().flatten() {
+            if route.volume != Volume::Large {
+                continue;
+            }
+            let used = route.shares.iter().filter(|it| it.weight > 0);
+            bulk.extend(used.map(|it| Arc::clone(&it.service)));
+        }
         Ok(Self {
+            bulk,
             version,
             hosts,
             services,
@@ -145,6 +159,12 @@
         common.unwrap_or_default()
     }
 
+    /// Whether a service has a route with large bodies.
+    #[must_use]
+    pub fn is_bulk(&self, service: &str) -> bool {
+        self.bulk.contains(service)
+    }
+
     /// Returns all routes of all hosts.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,7 +14,7 @@
 pub use catalog::{Catalog, CatalogParts, HostRoutes, Limits};
 pub use catalog_change::CatalogChange;
 pub use catalog_error::CatalogError;
-pub use route::{Regions, Repeat, Route};
+pub use route::{Regions, Repeat, Route, Volume};
 pub use service::{ColdLimit, Ownership, Service};
 pub use share::{Picker, Share, Shares};
 
--- a/crates/routing/src/route.rs
+++ b/crates/routing/src/route.rs
@@ -19,6 +19,16 @@
     Unknown,
 }
 
+/// How large the bodies of requests and answers are.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Volume {
+    /// Usually some kilobytes.
+    #[default]
+    Small,
+    /// Requests are uploads, or answers downloads.
+    Large,
+}
+
 /// Names of regions; most routes name none or one.
 pub type Regions = SmallVec<[Arc<str>; 2]>;
 
@@ -43,6 +53,8 @@
     pub attempts: u32,
     /// The services that share the requests.
     pub shares: Shares,
+    /// How large bodies are.
+    pub volume: Volume,
     /// The regions in which requests may run; empty if they may run in all.
     pub regions: Regions,
 }
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     Catalog, CatalogChange, CatalogError, CatalogParts, Limits, Ownership, Picker, Regions, Repeat,
-    Route, Service, Share,
+    Route, Service, Share, Volume,
 };
 
 fn route(prefix: &str, service: &str) -> Route {
@@ -20,6 +20,7 @@
             service: service.into(),
             weight: 1,
         }],
+        volume: Volume::Small,
         regions: Regions::new(),
     }
 }
