Choose data centres and targets by the time that they are expected to take

Where load is mixed (regions, large bodies or cold targets in the configuration), requests without a key went to the nearest data centre until it refused them, whatever its queue, and to the least busy target, whether its machine was slow or not. Gateways now state the expected wait of a pool in their answers; entry hosts weigh it against the distance. A request that a target has shed is offered again within its objective and the retry budget, to another target of the pool or to its owner, instead of being refused.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Queue`]; `docs/admission.md` explains the choices.
 
 mod backoff;
+mod choice;
 mod claim_ages;
 mod claims;
 mod coalescer;
@@ -16,6 +17,7 @@
 mod retry_budget;
 
 pub use backoff::Backoff;
+pub use choice::{Candidate, Preference, ReportedLoad, TargetPace};
 pub use claim_ages::{ClaimAges, Mark};
 pub use claims::{
     AddOutcome, Batch, BatchResult, Claim, ClaimBatcher, ClaimLimits, ClaimVerdict, ClaimVerdicts,
--- a/crates/router/src/entry.rs
+++ b/crates/router/src/entry.rs
@@ -9,8 +9,10 @@
 mod retry_budgets;
 mod server;
 mod suspects;
+mod waits;
 
 pub use request::{MAX_BODY_BYTES, RoutedRequest, end_to_end};
 pub use retry_budgets::RetryBudgets;
 pub use server::serve;
 pub use suspects::Suspects;
+pub use waits::Waits;
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -14,6 +14,7 @@
     places::{distance, usable_for},
     request::RoutedRequest,
     server::Body,
+    waits::detour_ms,
 };
 use crate::{
     gateway::{self, AttemptOutcome, GatewayRequest, LeavingTarget, QueueId, WaitLimit},
@@ -29,6 +30,9 @@
 /// Longest time for which a request waits until its key has an owner that can be reached.
 const MAX_OWNER_WAIT_MS: Millis = 700;
 
+/// Pause before a request that a target has shed is offered again.
+const SHED_PAUSE_MS: Millis = 20;
+
 /// Answers a request, or returns why it is refused.
 pub async fn run(node: &Arc<Node>, request: &RoutedRequest) -> Result<Response<Body>, Refusal> {
     let mut trace = RequestTrace::new(node, request);
@@ -63,6 +67,11 @@
         ran: Ran::NotRun,
         excluded: Vec::new(),
         paused: Vec::new(),
+        mixed: node
+            .catalog
+            .load()
+            .as_ref()
+            .is_some_and(|it| it.has_mixed_load()),
     };
     if node
         .poison_requests
@@ -121,6 +130,8 @@
     excluded: Vec<QueueId>,
     /// Queues all of whose targets are in a pause.
     paused: Vec<QueueId>,
+    /// Whether the configuration calls for handling of mixed load.
+    mixed: bool,
 }
 
 impl Delivery<'_> {
@@ -152,7 +163,14 @@
             .filter(|it| it.name != node.info.name);
         let (outcome, host) = match &other {
             Some(host) => (self.forward(gateway_request, host).await, &host.name),
-            None => (gateway::run(node, gateway_request).await, &node.info.name),
+            None => {
+                let outcome = gateway::run(node, gateway_request).await;
+                let queue = &gateway_request.queue;
+                if let Some(wait_ms) = node.queues.pool_wait_ms(queue) {
+                    node.waits.learn(queue, wait_ms, node.clock.now());
+                }
+                (outcome, &node.info.name)
+            }
         };
         trace.step(Some(gateway_request.queue.clone()), host, began, &outcome);
         outcome
@@ -212,6 +230,13 @@
                 self.paused.push(gateway_request.queue.clone());
                 Ok(())
             }
+            // Another target of the pool may take it, or the same one a moment later.
+            Reason::TargetShed
+                if offered && self.mixed && now + SHED_PAUSE_MS < gateway_request.objective =>
+            {
+                tokio::time::sleep(Duration::from_millis(SHED_PAUSE_MS)).await;
+                Ok(())
+            }
             Reason::QueueFull
             | Reason::TargetShed
             | Reason::TargetFailing
@@ -283,9 +308,9 @@
     /// Chooses the queue for the next attempt, and how long the request may wait in it; the error is
     /// the reason why there is none.
     ///
-    /// Without a key, this is the queue of the nearest data centre that is not excluded. If all are
-    /// excluded, the nearest one that is not in a pause is tried again, and the request waits there
-    /// until its deadline.
+    /// Without a key, this is the queue of the nearest data centre that is not excluded, or, where load
+    /// is mixed, the one with the shortest expected wait, given the distance. If all are excluded, the
+    /// first one that is not in a pause is tried again, and the request waits there until its deadline.
     fn choose_queue(&self) -> Result<(QueueId, WaitLimit), Reason> {
         let node = self.node;
         let gateway_request = &self.request.gateway_request;
@@ -297,7 +322,11 @@
             service: Arc::clone(&gateway_request.service),
             place,
         });
-        let queues: SmallVec<[QueueId; 4]> = queues.collect();
+        let mut queues: SmallVec<[QueueId; 4]> = queues.collect();
+        if self.mixed {
+            let now = node.clock.now();
+            queues.sort_by_cached_key(|it| self.cost_ms(it, now));
+        }
         let untried = queues.iter().find(|it| !self.excluded.contains(it));
         match untried {
             Some(queue) if queues.len() > 1 => Ok((queue.clone(), WaitLimit::Objective)),
@@ -309,6 +338,16 @@
         }
     }
 
+    /// The expected wait in the queue of a pool, plus what the way to it is worth, in milliseconds.
+    fn cost_ms(&self, queue: &QueueId, now: Millis) -> u64 {
+        let QueueId::Pool { place, .. } = queue else {
+            return 0;
+        };
+        let objective_ms = self.request.route.objective_ms;
+        let detour_ms = detour_ms(distance(self.node, place), objective_ms);
+        self.node.waits.expected_ms(queue, now) + detour_ms
+    }
+
     /// The queue of the target that owns a key, if the route may use its region.
     fn owner_of(&self, key: Key) -> Result<QueueId, Reason> {
         let node = self.node;
--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -170,6 +170,7 @@
             seal: header("seal"),
             leaving: |headers, _| headers.contains_key("leaving"),
             may_leave: |headers| headers.contains_key("may-leave"),
+            load: |_| None,
             healthy: |status, _, _| status == StatusCode::OK,
             status: |_| StatusCode::SERVICE_UNAVAILABLE,
         },
--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -55,6 +55,8 @@
     /// Versions of the targets and the evacuations that `members` was built from.
     version: Option<(u64, u64)>,
     members: Vec<Member>,
+    /// Whether targets are chosen by the time that they are expected to take.
+    by_pace: bool,
     /// The end of the first pause if no member takes requests because of pauses.
     paused_until: Option<Millis>,
     /// Callers that were told when to return, since the queue is paused.
@@ -101,6 +103,7 @@
                 next_id: 0,
                 version: None,
                 members: Vec::new(),
+                by_pace: false,
                 paused_until: None,
                 told: 0,
                 keys: BTreeMap::new(),
@@ -299,9 +302,9 @@
         let version = (targets.version(), evacuations.version());
         if self.version != Some(version) {
             self.version = Some(version);
-            let connections = node
-                .catalog
-                .load()
+            let catalog = node.catalog.load();
+            self.by_pace = catalog.as_ref().is_some_and(|it| it.has_mixed_load());
+            let connections = catalog
                 .as_ref()
                 .and_then(|it| it.service(service).map(|it| it.connections))
                 .and_then(|it| usize::try_from(it).ok())
@@ -369,8 +372,13 @@
         if count > 0.0 { (sum / count) as u64 } else { 0 }
     }
 
-    /// The target for a request: the least busy one, preferring those with a free slot.
+    /// The target for a request: the least busy one, preferring those with a free slot. Where load is
+    /// mixed, the one with a free slot that is expected to answer first.
     fn pick_member(&mut self, now: Millis) -> Option<&mut Member> {
+        if self.by_pace {
+            let admitting = self.members.iter_mut().filter(|it| it.admits(now));
+            return admitting.min_by_key(|it| it.preference(now));
+        }
         let busy = |it: &Member| {
             let slots = it.slots(now).max(1);
             let full = it.running >= slots;
--- a/crates/router/src/gateway/admission_queue/slot_guard.rs
+++ b/crates/router/src/gateway/admission_queue/slot_guard.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use admission::{HealthOutcome, RequestEnd};
+use admission::{HealthOutcome, ReportedLoad, RequestEnd};
 use coordinator::{Incarnation, Millis};
 use pool::Pool;
 
@@ -75,6 +75,15 @@
         self.with_member(|it| it.serving_at = it.serving_at.max(Some(sent)));
     }
 
+    /// Records the load that the target has stated in an answer.
+    pub(in crate::gateway) fn on_load(&self, load: ReportedLoad) {
+        let now = self.queue.clock.now();
+        self.with_member(|it| {
+            let own = u32::try_from(it.running).unwrap_or(u32::MAX);
+            it.pace.on_report(now, load, own);
+        });
+    }
+
     /// Leaves the target alone for a while, because it may have left.
     pub(in crate::gateway) fn doubt(&self) {
         let until = self.queue.clock.now() + DOUBT_MS;
--- a/crates/router/src/gateway/admission_queues.rs
+++ b/crates/router/src/gateway/admission_queues.rs
@@ -51,6 +51,15 @@
         queue
     }
 
+    /// Returns the milliseconds that a new request would wait in the queue of a pool; `None` for the
+    /// queue of one target, which no other can replace.
+    pub fn pool_wait_ms(&self, id: &QueueId) -> Option<u64> {
+        match id {
+            QueueId::Pool { .. } => Some(self.get(id).load().wait_ms),
+            QueueId::Target(_) => None,
+        }
+    }
+
     /// Takes the loads of all queues and the span in milliseconds over which they were collected.
     pub fn take_loads(&self) -> (u32, Vec<TargetLoad>) {
         let now = self.clock.now();
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -281,6 +281,9 @@
     if !leaving && !(node.profile.may_leave)(&parts.headers) {
         slot.on_serving(sent);
     }
+    if let Some(load) = (node.profile.load)(&parts.headers) {
+        slot.on_load(load);
+    }
     let mut outcome = outcome_of_answer(node, parts, body);
     if leaving {
         on_leaving(node, &slot.incarnation, sent, &mut outcome);
--- a/crates/router/src/gateway/forward.rs
+++ b/crates/router/src/gateway/forward.rs
@@ -97,6 +97,10 @@
                 }
             };
             let (parts, body) = answer.into_parts();
+            if let Some(wait_ms) = hop::wait_of(&parts.headers) {
+                let queue = &gateway_request.queue;
+                node.waits.learn(queue, wait_ms, node.clock.now());
+            }
             match node.answer_limits.read(body).await {
                 Ok(body) => hop::outcome_of(http::Response::from_parts(parts, body)),
                 Err(err) => {
--- a/crates/router/src/gateway/hop.rs
+++ b/crates/router/src/gateway/hop.rs
@@ -26,6 +26,8 @@
 const REFUSED: HeaderName = HeaderName::from_static("hop-refused");
 /// Milliseconds after which a refused request can be served.
 const RETRY: HeaderName = HeaderName::from_static("hop-retry");
+/// Milliseconds that a new request would wait in the queue that the request was sent to.
+const WAIT: HeaderName = HeaderName::from_static("hop-wait");
 /// Whether the request ran. Each answer of a gateway has it, so that an answer which the HTTP/2 library
 /// gives by itself does not pass for that of a target.
 const RAN: HeaderName = HeaderName::from_static("hop-ran");
@@ -149,7 +151,7 @@
         AttemptOutcome::Answered(mut response) => {
             let leaving = response.extensions_mut().remove::<LeavingTarget>();
             let headers = response.headers_mut();
-            for name in [REFUSED, RETRY, LEAVING] {
+            for name in [REFUSED, RETRY, LEAVING, WAIT] {
                 headers.remove(name);
             }
             headers.insert(RAN, ANSWERED);
@@ -181,6 +183,18 @@
     response
 }
 
+/// Adds the expected wait in a queue to an answer.
+pub(super) fn put_wait(response: &mut Response<Full<Bytes>>, wait_ms: u64) {
+    response
+        .headers_mut()
+        .insert(WAIT, HeaderValue::from(wait_ms));
+}
+
+/// Reads the expected wait from an answer, if it states one.
+pub(super) fn wait_of(headers: &HeaderMap) -> Option<u64> {
+    headers.get(WAIT)?.to_str().ok()?.parse().ok()
+}
+
 /// Decodes the outcome of an answer.
 pub(super) fn outcome_of(response: Response<Bytes>) -> AttemptOutcome {
     let (mut parts, body) = response.into_parts();
@@ -189,6 +203,7 @@
             log::warn!(status = parts.status.as_u16(); "an answer between hosts is not of a gateway");
             return AttemptOutcome::Unknown(Reason::GatewayLost);
         }
+        parts.headers.remove(WAIT);
         let leaving = parts.headers.remove(LEAVING);
         if let Some(it) = leaving.as_ref().and_then(incarnation_of) {
             parts.extensions.insert(LeavingTarget(it));
--- a/crates/router/src/gateway/member.rs
+++ b/crates/router/src/gateway/member.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use admission::{Health, HealthOutcome};
+use admission::{Candidate, Health, HealthOutcome, Preference, TargetPace};
 use coordinator::Millis;
 use pool::Pool;
 
@@ -23,6 +23,8 @@
     pub(super) pause: Pause,
     /// Exponential moving average of service times in milliseconds; `None` before the first answer.
     pub(super) mean_ms: Option<f64>,
+    /// Its speed, and the load that it stated.
+    pub(super) pace: TargetPace,
     /// From this time on no requests are sent to it, because it is about to stop.
     pub(super) closed_from: Option<Millis>,
     /// When the latest request was sent to it whose answer shows that it did not leave then; `None` if
@@ -44,6 +46,7 @@
             health: Health::new(),
             pause: Pause::default(),
             mean_ms: None,
+            pace: TargetPace::default(),
             closed_from: None,
             serving_at: None,
             doubted_until: 0,
@@ -67,6 +70,17 @@
         self.health.slots(now, slots)
     }
 
+    /// How well it suits for the next request; the member with the lowest value is chosen.
+    pub(super) fn preference(&self, now: Millis) -> Preference {
+        Preference::of(&Candidate {
+            running: self.running,
+            slots: self.slots(now),
+            foreign: self.pace.foreign_at(now),
+            expected_ms: self.pace.expected_ms(now),
+            last_used: self.last_used,
+        })
+    }
+
     pub(super) fn on_end(&mut self, now: Millis, took_ms: u64, outcome: Option<HealthOutcome>) {
         self.running = self.running.saturating_sub(1);
         let Some(outcome) = outcome else { return };
@@ -76,6 +90,7 @@
             let took = took_ms as f64;
             let mean = self.mean_ms.unwrap_or(took);
             self.mean_ms = Some(mean + (took - mean) * NEWEST_WEIGHT);
+            self.pace.on_answer(now, took_ms);
         }
     }
 }
--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -49,19 +49,24 @@
 async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
     let (parts, body) = request.into_parts();
     let head = Request::from_parts(parts, Bytes::new());
-    let outcome = match hop::gateway_request_of(head, node.clock.now()) {
+    let Some(request) = hop::gateway_request_of(head, node.clock.now()) else {
+        log_unreadable(node);
+        return hop::response_of(AttemptOutcome::not_sent(Reason::NotGateway));
+    };
+    if !can_answer(node, &request) {
         // The entry host tries the next gateway.
-        Some(it) if !can_answer(node, &it) => AttemptOutcome::not_sent(Reason::OwnerUnreachable),
-        Some(it) => match with_body(node, it, body).await {
-            Ok(it) => exchange::run(node, &it).await,
-            Err(reason) => AttemptOutcome::not_sent(reason),
-        },
-        None => {
-            log_unreadable(node);
-            AttemptOutcome::not_sent(Reason::NotGateway)
-        }
+        return hop::response_of(AttemptOutcome::not_sent(Reason::OwnerUnreachable));
+    }
+    let queue = request.queue.clone();
+    let outcome = match with_body(node, request, body).await {
+        Ok(it) => exchange::run(node, &it).await,
+        Err(reason) => AttemptOutcome::not_sent(reason),
     };
-    hop::response_of(outcome)
+    let mut response = hop::response_of(outcome);
+    if let Some(wait_ms) = node.queues.pool_wait_ms(&queue) {
+        hop::put_wait(&mut response, wait_ms);
+    }
+    response
 }
 
 /// Reads the body of a forwarded request.
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -24,7 +24,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
-    entry::{MAX_BODY_BYTES, RetryBudgets, Suspects},
+    entry::{MAX_BODY_BYTES, RetryBudgets, Suspects, Waits},
     gateway::{AdmissionQueues, Forwarder, PoisonRequests},
     grace_period::GracePeriod,
     observe::{LineKind, LogLimiter, Metrics, ObservedStore},
@@ -82,6 +82,8 @@
     pub retry_budgets: RetryBudgets,
     /// Hosts that recently failed to answer.
     pub suspects: Suspects,
+    /// Expected waits in the queues of pools.
+    pub waits: Waits,
     /// Quarantine of requests that crash targets.
     pub poison_requests: PoisonRequests,
     /// Notified when an event has changed this host's state, such as targets, slices or hosts.
@@ -157,6 +159,7 @@
                 settings.bounds.retry_window,
             ),
             suspects: Suspects::default(),
+            waits: Waits::default(),
             poison_requests: PoisonRequests::default(),
             state_changed: Notify::new(),
             feed_changed: Notify::new(),
--- a/crates/router/src/ports/protocol_profile.rs
+++ b/crates/router/src/ports/protocol_profile.rs
@@ -1,5 +1,6 @@
 //! Header names and refusal statuses of the protocol.
 
+use admission::ReportedLoad;
 use http::{HeaderMap, HeaderName, StatusCode};
 use refusal::Refusal;
 
@@ -17,6 +18,9 @@
 /// stop.
 pub type HealthSign = fn(StatusCode, &HeaderMap, &str) -> bool;
 
+/// Reads the load that the target states in an answer; `None` if it states none that is readable.
+pub type LoadReading = fn(&HeaderMap) -> Option<ReportedLoad>;
+
 /// The header names and refusal statuses of the protocol that callers and targets speak.
 #[derive(Clone, Debug)]
 pub struct ProtocolProfile {
@@ -36,6 +40,8 @@
     pub leaving: LeavingSign,
     /// Reads from an answer whether its target may be about to stop.
     pub may_leave: DepartureHint,
+    /// Reads the load of a target from its answer.
+    pub load: LoadReading,
     /// Reads the answer to a health check.
     pub healthy: HealthSign,
     /// Maps a refusal to its HTTP status.
--- a/crates/routing/src/catalog.rs
+++ b/crates/routing/src/catalog.rs
@@ -48,6 +48,7 @@
     limits: Limits,
     /// Services that have a route with large bodies.
     bulk: BTreeSet<Arc<str>>,
+    mixed: bool,
 }
 
 impl Catalog {
@@ -92,7 +93,11 @@
             let used = route.shares.iter().filter(|it| it.weight > 0);
             bulk.extend(used.map(|it| Arc::clone(&it.service)));
         }
+        let mut routes = hosts.values().flatten();
+        let restricted = routes.any(|it| !it.regions.is_empty());
+        let mixed = restricted || !bulk.is_empty() || services.values().any(|it| it.cold.is_some());
         Ok(Self {
+            mixed,
             bulk,
             version,
             hosts,
@@ -159,6 +164,13 @@
         common.unwrap_or_default()
     }
 
+    /// Whether the load is mixed: routes have large bodies or are restricted to regions, or targets
+    /// can be cold. Requests are then spread by the expected waits, and not only by distance.
+    #[must_use]
+    pub fn has_mixed_load(&self) -> bool {
+        self.mixed
+    }
+
     /// Whether a service has a route with large bodies.
     #[must_use]
     pub fn is_bulk(&self, service: &str) -> bool {
