Tell all hosts which data centres are still evacuated

A host kept a data centre evacuated for ever if it was taken back while no host coordinated and the next coordinator had just started: that one never knew it and told no one of the return. Conversely a complete list with an unreadable row, or one of a store that had just come back from an older copy, ended evacuations, and older news from a host that had been cut off began them again.

The coordinator now announces the complete list of evacuated data centres, as it does for targets. A reply states how recent the configuration is as of before its events, so that a host without a coordinator does not skip a row; evacuations in the answer of a relay hold even if its version of the configuration cannot be used.

Tests: control/watch/tests.rs and node/tests.rs.

--- a/crates/router/src/control/configuration.rs
+++ b/crates/router/src/control/configuration.rs
@@ -166,10 +166,7 @@
             return None;
         }
     };
-    if let Some(update) = answer.update {
-        let catalog = node.catalog.resolve(update)?;
-        node.adopt_catalog(catalog, NewsSource::Host);
-    }
+    // Evacuations hold whether the version can be used or not.
     let way_ms = node.clock.now().saturating_sub(asked);
     let evacuations = answer.evacuations.into_iter().map(|it| {
         Event::Evacuation(Evacuation {
@@ -177,7 +174,11 @@
             ..it
         })
     });
-    node.announce(evacuations.collect());
+    node.announce_from(evacuations.collect(), NewsSource::Host);
+    if let Some(update) = answer.update {
+        let catalog = node.catalog.resolve(update)?;
+        node.adopt_catalog(catalog, NewsSource::Host);
+    }
     if let Some(mark) = answer.mark {
         // The answer may have been on its way for long, but the host has known this since the call.
         node.catalog
--- a/crates/router/src/control/watch.rs
+++ b/crates/router/src/control/watch.rs
@@ -219,9 +219,14 @@
         read_again |= may_return;
     }
     if complete && topic == Topic::Catalog {
-        let returned = node.evacuations().missing_from(&evacuated, read.rev);
-        for place in returned {
-            events.push(evacuation(node, place, read.rev, false));
+        let restored_until = node.targets().complete_at();
+        if node.clock.now() < restored_until {
+            // The copy may be older than an evacuation, which the operator may repeat.
+            read_again = true;
+        } else if read.unreadable == 0 {
+            // Other hosts may know evacuations that ended while there was no coordinator. A row that
+            // is not readable may be one that did not end.
+            events.push(Event::Evacuated(evacuated, read.rev));
         }
     }
     node.announce(events);
@@ -238,3 +243,6 @@
         age_ms: node.catalog_age_ms(),
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/node/replication.rs
+++ b/crates/router/src/node/replication.rs
@@ -51,10 +51,15 @@
     /// Only the coordinator numbers events. What another host read from the store itself is not
     /// part of the sequence, so that host rewinds its position and is sent everything again.
     pub fn announce(&self, events: Vec<Event>) {
+        self.announce_from(events, NewsSource::Store);
+    }
+
+    /// As [`Node::announce`], with events from another source than the store.
+    pub fn announce_from(&self, events: Vec<Event>, from: NewsSource) {
         let coordinates = self.is_coordinator();
         let mut changed = false;
         for event in events {
-            if !self.apply(&event, NewsSource::Store) {
+            if !self.apply(&event, from) {
                 continue;
             }
             changed = true;
@@ -127,6 +132,9 @@
 
     /// Builds the reply to a host that knows everything up to `known`.
     pub fn reply_to(&self, known: Position) -> ReportReply {
+        // Read before the events: what the mark covers must be among them, because the other host
+        // reads from the store only what is newer.
+        let (catalog, catalog_age) = (self.catalog.mark(), self.catalog_age_ms());
         let (position, mut events) = {
             let feed = self.feed();
             (feed.position(), feed.after(known))
@@ -152,8 +160,8 @@
             position,
             complete,
             events: events.unwrap_or_else(|| self.full_state()),
-            catalog: self.catalog.mark(),
-            catalog_age: self.catalog_age_ms(),
+            catalog,
+            catalog_age,
             age_ms: self.age_ms(),
             targets_age_ms: self.targets_synced_at().map(|_| self.targets_age_ms()),
             held_ms: 0,
@@ -170,6 +178,8 @@
         let now = self.clock.now();
         events.extend(self.targets().leaving(now).map(Event::Leaving));
         events.extend(self.evacuations().iter(now).map(Event::Evacuation));
+        let evacuated = self.evacuations().list();
+        events.extend(evacuated.map(|it| Event::Evacuated(it.0, it.1)));
         for (service, table) in &*self.tables() {
             for slice in table.iter() {
                 events.push(Event::Slice(Arc::clone(service), slice.clone()));
@@ -201,6 +211,10 @@
                 self.learn_leaving(&it.incarnation, since, LeavingSource::Host)
             }
             Event::Evacuation(news) => self.learn_evacuation(news, from),
+            Event::Evacuated(places, rev) => {
+                self.apply_evacuated(places, *rev, from);
+                true
+            }
             Event::Slice(service, slice) => {
                 let mut tables = self.tables.write().expect("lock is not poisoned");
                 let table = tables.entry(Arc::clone(service)).or_default();
@@ -254,6 +268,23 @@
         }
     }
 
+    /// Takes back into use the data centres that are missing from a complete list of evacuated ones as
+    /// of `rev`, which hosts that have just started cannot name.
+    fn apply_evacuated(&self, places: &[Arc<str>], rev: Revision, from: NewsSource) {
+        let returned = self.evacuations().missing_from(places, rev);
+        for place in returned {
+            let news = Evacuation {
+                place,
+                rev,
+                active: false,
+                age_ms: 0,
+            };
+            self.learn_evacuation(&news, from);
+        }
+        let mut evacuations = self.evacuations.write().expect("lock is not poisoned");
+        evacuations.set_listed(rev);
+    }
+
     /// Records that a target has said at `since` or later that it is about to stop; returns whether
     /// this is new.
     fn learn_leaving(&self, incarnation: &Incarnation, since: Millis, from: LeavingSource) -> bool {
--- a/crates/router/src/node/tests.rs
+++ b/crates/router/src/node/tests.rs
@@ -97,6 +97,44 @@
     assert!(follower.targets().get("b").is_some());
 }
 
+/// Guards against a data centre that stays evacuated for ever on a host, because it was taken back
+/// while there was no coordinator, and the next one has just started and never knew it; and against
+/// older news of the evacuation from a host that was cut off.
+#[test]
+fn a_new_coordinator_tells_which_places_are_evacuated() {
+    let rev = |number| Revision {
+        generation: 0,
+        number,
+    };
+    let evacuation = |place: &str, number| {
+        Event::Evacuation(Evacuation {
+            place: place.into(),
+            rev: rev(number),
+            active: true,
+            age_ms: 9_000,
+        })
+    };
+    let restarted = node("h1", 7_000);
+    restarted.feed().restart(Position { term: 4, number: 0 });
+    let (inbox, _) = mpsc::unbounded_channel();
+    restarted.set_inbox(Some(inbox));
+    restarted.set_coordinator(Some(restarted.settings.peer));
+    let listed = Event::Evacuated(vec!["palermo".into()], rev(9));
+    restarted.announce(vec![evacuation("palermo", 5), listed]);
+    let follower = node("h2", 7_100);
+    let late = node("h3", 7_200);
+    let known = || vec![evacuation("catania", 3), evacuation("palermo", 5)];
+    follower.announce(known());
+    for host in [&follower, &late] {
+        sync(&restarted, host);
+        host.announce(known());
+        let now = host.clock.now();
+        let name = &host.info.name;
+        assert_eq!(host.access("catania", now), Access::Open, "{name}");
+        assert_eq!(host.access("palermo", now), Access::Closed, "{name}");
+    }
+}
+
 /// Guards against a host that does not pass on what it has read from the store itself.
 #[test]
 fn hosts_pass_on_what_they_read_themselves() {
--- a/crates/router/src/peers/feed.rs
+++ b/crates/router/src/peers/feed.rs
@@ -25,6 +25,8 @@
     Leaving(Departure),
     /// A data centre that is evacuated or in use again.
     Evacuation(Evacuation),
+    /// All evacuated data centres as of a revision of the store.
+    Evacuated(Vec<Arc<str>>, Revision),
     /// A slice of a service.
     Slice(Arc<str>, Slice),
     /// All hosts that serve.
--- a/crates/router/src/state/evacuations.rs
+++ b/crates/router/src/state/evacuations.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Evacuations {
     places: BTreeMap<Arc<str>, Known>,
+    /// Revision of the newest complete list.
+    listed: Option<Revision>,
     /// Number that increases with each change.
     version: u64,
 }
@@ -64,7 +66,9 @@
             return false;
         }
         let was_active = known.is_some_and(|it| it.active);
-        if known.is_none() && !news.active {
+        // A data centre that a complete list lacks was taken back before it was made.
+        let outdated = self.listed >= Some(news.rev);
+        if known.is_none() && (outdated || !news.active) {
             return false;
         }
         let changed = was_active != news.active;
@@ -129,6 +133,20 @@
         missing
     }
 
+    /// Records that a complete list as of `rev` is known.
+    pub fn set_listed(&mut self, rev: Revision) {
+        self.listed = self.listed.max(Some(rev));
+    }
+
+    /// The evacuated data centres, and the revision as of which these are all; `None` before the first
+    /// complete list.
+    #[must_use]
+    pub fn list(&self) -> Option<(Vec<Arc<str>>, Revision)> {
+        let active = self.places.iter().filter(|(_, it)| it.active);
+        let places = active.map(|(place, _)| Arc::clone(place)).collect();
+        Some((places, self.listed?))
+    }
+
     /// All that is known, as told to other hosts at `now`.
     pub fn iter(&self, now: Millis) -> impl Iterator<Item = Evacuation> {
         self.places.iter().map(move |(place, known)| Evacuation {
