--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -14,6 +14,7 @@
 mod queue;
 mod retry;
 mod retry_budget;
+mod warm_up;
 
 pub use backoff::Backoff;
 pub use claim_ages::{ClaimAges, Mark};
@@ -29,6 +30,7 @@
 };
 pub use retry::{Attempt, Idempotency, RetryDecision, RetryScope, retry_decision};
 pub use retry_budget::{RetryBudget, RetryVerdict};
+pub use warm_up::{WarmUp, Warmth};
 
 /// Milliseconds of a monotonic clock.
 pub type Millis = u64;
--- a/crates/pool/src/pool.rs
+++ b/crates/pool/src/pool.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -26,6 +26,8 @@
     address: SocketAddr,
     limit: AtomicUsize,
     idle: Mutex<Vec<Sender>>,
+    /// Whether the server has closed an idle connection since the last call of `take_broken`.
+    broken: AtomicBool,
     open: Arc<OpenCount>,
 }
 
@@ -58,6 +60,7 @@
             address,
             limit: AtomicUsize::new(limit),
             idle: Mutex::default(),
+            broken: AtomicBool::new(false),
             open: Arc::default(),
         }
     }
@@ -94,6 +97,9 @@
                 if sender.is_ready() {
                     return Ok(sender);
                 }
+                if !sender.is_expired() {
+                    self.broken.store(true, Ordering::Relaxed);
+                }
             }
         }
         let until = Instant::now() + timeout;
@@ -137,6 +143,12 @@
         self.idle().push(sender);
     }
 
+    /// Whether since the last call a connection that was to be used had been closed by the server
+    /// while it was idle, for example because its process ended.
+    pub fn take_broken(&self) -> bool {
+        self.broken.swap(false, Ordering::Relaxed)
+    }
+
     /// Closes all idle connections. Used after a connection got no answer or broke, because others
     /// of the same age may be broken too.
     pub fn close_idle(&self) {
--- a/crates/pool/src/pool/tests.rs
+++ b/crates/pool/src/pool/tests.rs
@@ -124,3 +124,33 @@
         assert_eq!(connections.load(Ordering::Relaxed), 50, "{head:?}");
     }
 }
+
+/// Guards against a server that restarts unnoticed between two requests, and against one that counts as
+/// restarted although it said that it closes its connections.
+#[tokio::test]
+async fn idle_connections_that_break_are_reported() {
+    let cases = [
+        ("HTTP/1.1 200 OK\r\n", true),
+        ("HTTP/1.1 200 OK\r\nkeep-alive: timeout=0\r\n", false),
+    ];
+    for (head, expected) in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a port is free");
+        let address = listener.local_addr().expect("the listener is bound");
+        let server = tokio::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.expect("a client connects");
+                // The connection ends soon after the answer.
+                let _ = tokio::time::timeout(Duration::from_millis(50), answer(stream, head)).await;
+            }
+        });
+        let pool = Pool::new(address, 4);
+        fetch(&pool).await;
+        assert!(!pool.take_broken(), "{head:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        fetch(&pool).await;
+        assert_eq!(pool.take_broken(), expected, "{head:?}");
+        assert!(!pool.take_broken(), "{head:?}");
+        server.abort();
+    }
+}
--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -16,10 +16,12 @@
     server::Body,
 };
 use crate::{
-    gateway::{self, AttemptOutcome, GatewayRequest, LeavingTarget, QueueId, WaitLimit},
+    gateway::{
+        self, AttemptOutcome, GatewayRequest, LeavingTarget, QueueId, WaitLimit, gateway_of,
+    },
     node::{LeavingSource, Node},
     observe::RequestTrace,
-    peers::{GatewayNeed, HostInfo},
+    peers::HostInfo,
     state::Access,
 };
 
@@ -340,24 +342,3 @@
         closed_from.is_some_and(|it| now >= it) || node.access(&entry.place, now) == Access::Closed
     }
 }
-
-/// The host that is the gateway of a queue; if `None`, this host acts as the gateway.
-fn gateway_of(node: &Node, service: &str, queue: &QueueId) -> Option<HostInfo> {
-    let catalog = node.catalog.load();
-    let bulk = catalog.as_ref().is_some_and(|it| it.is_bulk(service));
-    let (place, slots) = match queue {
-        QueueId::Pool { place, .. } => (Arc::clone(place), node.targets().slots_at(service, place)),
-        QueueId::Target(target) => {
-            let targets = node.targets();
-            let entry = targets.get(target)?;
-            (Arc::clone(&entry.place), entry.slots)
-        }
-    };
-    let need = GatewayNeed::of_slots(slots, bulk);
-    let hosts = node.hosts.load();
-    let now = node.clock.now();
-    let mut ranked = hosts.ranked(&place, &queue.to_string(), need).into_iter();
-    ranked
-        .find(|it| !node.suspects.is_suspect(&it.name, now))
-        .cloned()
-}
--- a/crates/router/src/fake.rs
+++ b/crates/router/src/fake.rs
@@ -146,17 +146,6 @@
 
 /// Creates a host of `platform`.
 pub fn node_at(name: &str, port: u16, platform: Arc<EmptyPlatform>) -> Node {
-    let text = format!(
-        "{{host: {name}, place: catania, regions: {{catania: sicilia-est}}, \
-         callers: 127.0.0.1:{}, operators: 127.0.0.1:{}, metrics: 127.0.0.1:{}, \
-         peer: 127.0.0.1:{port}, forward: 127.0.0.1:{}, cores: 1.0, \
-         store: {{address: 127.0.0.1:1}}, bounds: {{max_hold_s: 10, drain_s: 2, grace_s: 6, \
-         retry_ratio: 0.2, retry_slack: 60, retry_window_s: 10}}}}",
-        port + 1,
-        port + 2,
-        port + 3,
-        port + 4,
-    );
     let header = HeaderName::from_static;
     let ports = Ports {
         store: Arc::clone(&platform) as Arc<dyn Store>,
@@ -171,13 +160,27 @@
             leaving: |headers, _| headers.contains_key("leaving"),
             may_leave: |headers| headers.contains_key("may-leave"),
             healthy: |status, _, _| status == StatusCode::OK,
+            cold_time: |_| Some(0),
             status: |_| StatusCode::SERVICE_UNAVAILABLE,
         },
     };
-    Node::new(
-        Settings::parse("f", &text).expect("the settings are valid"),
-        ports,
-    )
+    Node::new(settings(name, port, "{catania: sicilia-est}"), ports)
+}
+
+/// Creates the settings of a host in `catania`, given the region of each data centre.
+pub fn settings(name: &str, port: u16, regions: &str) -> Settings {
+    let text = format!(
+        "{{host: {name}, place: catania, regions: {regions}, \
+         callers: 127.0.0.1:{}, operators: 127.0.0.1:{}, metrics: 127.0.0.1:{}, \
+         peer: 127.0.0.1:{port}, forward: 127.0.0.1:{}, cores: 1.0, \
+         store: {{address: 127.0.0.1:1}}, bounds: {{max_hold_s: 10, drain_s: 2, grace_s: 6, \
+         retry_ratio: 0.2, retry_slack: 60, retry_window_s: 10}}}}",
+        port + 1,
+        port + 2,
+        port + 3,
+        port + 4,
+    );
+    Settings::parse("f", &text).expect("the settings are valid")
 }
 
 /// Creates a version of the configuration without routes.
--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -1,5 +1,6 @@
 //! The admission queue of one target, or of a pool of interchangeable targets.
 
+mod cold;
 mod pause;
 mod slot_guard;
 
@@ -13,8 +14,10 @@
 use coordinator::{Key, Millis};
 use process::BootClock;
 use refusal::Reason;
+use routing::ColdLimit;
 use tokio::sync::oneshot;
 
+use self::cold::cold_limit_of;
 pub(super) use self::slot_guard::SlotGuard;
 use super::{GatewayRequest, QueueId, WaitLimit, member::Member, pauses::Pauses};
 use crate::{
@@ -36,6 +39,9 @@
 /// Interval at which a single request is still sent to a target for keys whose grant has expired.
 const EXPIRED_RETRY_MS: u64 = 150;
 
+/// Time after which a request waits again whose target became cold before it was started.
+const LOST_TURN_WAIT: Duration = Duration::from_millis(10);
+
 /// Longest time between two refreshes of the state of targets while a request waits.
 const MAX_REFRESH_INTERVAL_MS: u64 = 250;
 
@@ -55,6 +61,10 @@
     /// Versions of the targets and the evacuations that `members` was built from.
     version: Option<(u64, u64)>,
     members: Vec<Member>,
+    /// The limit of requests to cold targets; `None` if there is none.
+    cold_limit: Option<ColdLimit>,
+    /// Whether a task starts requests when the pace of cold targets allows it.
+    pacing: bool,
     /// The end of the first pause if no member takes requests because of pauses.
     paused_until: Option<Millis>,
     /// Callers that were told when to return, since the queue is paused.
@@ -101,6 +111,8 @@
                 next_id: 0,
                 version: None,
                 members: Vec::new(),
+                cold_limit: None,
+                pacing: false,
                 paused_until: None,
                 told: 0,
                 keys: BTreeMap::new(),
@@ -114,9 +126,24 @@
     /// Waits for a free slot.
     pub(super) async fn acquire_slot(
         self: &Arc<Self>,
-        node: &Node,
+        node: &Arc<Node>,
         request: &GatewayRequest,
     ) -> Result<SlotGuard, Reason> {
+        loop {
+            if let Some(slot) = self.wait_for_turn(node, request).await? {
+                return Ok(slot);
+            }
+            tokio::time::sleep(LOST_TURN_WAIT).await;
+        }
+    }
+
+    /// Waits for the turn of a request. Returns `None` if the only free slots are then those of
+    /// targets that became cold meanwhile, so that it has to wait again.
+    async fn wait_for_turn(
+        self: &Arc<Self>,
+        node: &Arc<Node>,
+        request: &GatewayRequest,
+    ) -> Result<Option<SlotGuard>, Reason> {
         let (id, decided) = {
             let mut inner = self.lock();
             let now = self.clock.now();
@@ -128,7 +155,7 @@
                 return Err(Reason::NoOwner);
             }
             if !inner.members.iter().any(|it| it.admits(now)) {
-                return Err(Reason::TargetDraining);
+                return Err(self.none_admits(&mut inner, node, request, now));
             }
             if inner.paused_until.is_some() && matches!(inner.id, QueueId::Pool { .. }) {
                 return Err(Reason::TargetPaused);
@@ -154,6 +181,9 @@
             inner.waiting.insert(id, sender);
             let decisions = inner.queue.expire(now);
             inner.notify(decisions);
+            if self.start_pacer(&mut inner, now) {
+                node.metrics.held_for_cold(&request.service);
+            }
             (id, decided)
         };
         let mut entry = QueueEntry {
@@ -204,7 +234,7 @@
             waiting: inner.queue.waiting(),
             running: inner.queue.running(),
             slots: inner.members.iter().map(|it| it.slots(now)).sum(),
-            wait_ms: inner.queue.estimated_wait_ms(now),
+            wait_ms: inner.estimated_wait_ms(now),
         }
     }
 
@@ -238,7 +268,7 @@
     }
 
     async fn wait(
-        &self,
+        self: &Arc<Self>,
         node: &Node,
         request: &GatewayRequest,
         mut decided: oneshot::Receiver<Decision>,
@@ -250,6 +280,7 @@
                 inner.refresh(node, &self.pauses, &request.service, now);
                 let decisions = inner.queue.expire(now);
                 inner.notify(decisions);
+                self.start_pacer(&mut inner, now);
                 inner.queue.next_due(now).map(|it| it.saturating_sub(now))
             };
             let pause = Duration::from_millis(
@@ -270,20 +301,26 @@
         inner: &mut Inner,
         id: u64,
         request: &GatewayRequest,
-    ) -> Result<SlotGuard, Reason> {
+    ) -> Result<Option<SlotGuard>, Reason> {
         let now = self.clock.now();
         let Some(member) = inner.pick_member(now) else {
+            if inner.cold_limit.is_some() {
+                inner.update_limits(now);
+            }
             let decisions = inner.queue.finish(now, id, 0, RequestEnd::Cancelled);
             inner.notify(decisions);
+            if inner.members.iter().any(|it| it.admits(now)) {
+                return Ok(None);
+            }
             return Err(if inner.members.is_empty() {
                 Reason::NoOwner
             } else {
                 Reason::TargetDraining
             });
         };
-        member.running += 1;
-        member.last_used = now;
-        Ok(SlotGuard::new(self, id, now, &request.route, member))
+        member.on_start(now);
+        let slot = SlotGuard::new(self, id, now, &request.route, member);
+        Ok(Some(slot))
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -297,7 +334,9 @@
         let targets = node.targets();
         let evacuations = node.evacuations();
         let version = (targets.version(), evacuations.version());
-        if self.version != Some(version) {
+        let cold_limit = cold_limit_of(node, service);
+        if self.version != Some(version) || self.cold_limit != cold_limit {
+            self.cold_limit = cold_limit;
             self.version = Some(version);
             let connections = node
                 .catalog
@@ -323,11 +362,16 @@
                         && it.entry.started_ms == entry.started_ms
                         && it.entry.address == entry.address
                 });
-                let mut member = match known {
-                    Some(idx) => old.swap_remove(idx),
-                    None => Member::new(Arc::clone(name), Arc::clone(entry), connections),
+                let mut member = if let Some(idx) = known {
+                    old.swap_remove(idx)
+                } else {
+                    let mut new = Member::new(Arc::clone(name), Arc::clone(entry), connections);
+                    let former = old.iter().find(|it| it.name == *name);
+                    new.warm_up = self.new_warm_up(former, node, &targets, name, now);
+                    new
                 };
                 member.entry = Arc::clone(entry);
+                self.update_warm_up(&mut member, node, &targets, &evacuations, now);
                 let incarnation = entry.incarnation(name);
                 let pauses = pauses.lock().expect("lock is not poisoned");
                 let pause = pauses.get(&incarnation);
@@ -349,12 +393,14 @@
         }
         drop(evacuations);
         drop(targets);
+        self.doubt_unheard(node, now);
+        self.update_role(node, service, now);
         self.update_limits(now);
     }
 
     /// Whether the request can be expected to be answered within its objective.
     fn meets_objective(&self, now: Millis, request: &GatewayRequest) -> bool {
-        now + self.queue.estimated_wait_ms(now) + self.mean_ms() <= request.objective
+        now + self.estimated_wait_ms(now) + self.mean_ms() <= request.objective
     }
 
     /// The mean service time of the targets in milliseconds; 0 before the first answer.
@@ -377,7 +423,8 @@
             let unusable = it.slots(now) == 0;
             (unusable, full, it.running * 1_000 / slots, it.last_used)
         };
-        let admitting = self.members.iter_mut().filter(|it| it.admits(now));
+        let admitting = self.members.iter_mut();
+        let admitting = admitting.filter(|it| it.admits(now) && it.may_start(now));
         admitting.min_by_key(|it| busy(it))
     }
 
--- a/crates/router/src/gateway/admission_queue/pause.rs
+++ b/crates/router/src/gateway/admission_queue/pause.rs
@@ -58,7 +58,8 @@
             .iter()
             .filter(|it| it.pause.is_active(now) && it.capacity(now) > 0);
         let paused_until = paused.map(|it| it.pause.until).min();
-        let paused_until = paused_until.filter(|_| slots == 0);
+        let unpaced: usize = self.members.iter().map(|it| it.unpaced_slots(now)).sum();
+        let paused_until = paused_until.filter(|_| unpaced == 0);
         if self.paused_until.is_none() {
             self.told = 0;
         }
--- a/crates/router/src/gateway/admission_queue/slot_guard.rs
+++ b/crates/router/src/gateway/admission_queue/slot_guard.rs
@@ -8,7 +8,7 @@
 
 use super::AdmissionQueue;
 use crate::{
-    gateway::{member::Member, standing::Standing},
+    gateway::{confirm::TargetToVerify, member::Member, standing::Standing},
     node::Node,
     state::{Access, TargetState},
 };
@@ -81,6 +81,21 @@
         self.with_member(|it| it.doubted_until = until);
     }
 
+    /// Records that a connection to the target was refused, timed out or broke.
+    pub(in crate::gateway) fn on_connection_failure(&self, node: &Node) {
+        self.queue.on_connection_failure(node, &self.incarnation);
+    }
+
+    /// Records the result of a health check that was sent at `sent`.
+    pub(in crate::gateway) fn on_check(&self, node: &Node, sent: Millis, cold_ms: Option<Millis>) {
+        self.queue.on_check(node, &self.incarnation, sent, cold_ms);
+    }
+
+    /// Takes the health check that is to be sent to the target now, if any.
+    pub(in crate::gateway) fn take_check(&self) -> Option<TargetToVerify> {
+        self.queue.take_check(&self.incarnation)
+    }
+
     /// Whether the target is in a pause.
     pub(in crate::gateway) fn is_paused(&self) -> bool {
         let pause = self.queue.pauses().get(&self.incarnation);
--- a/crates/router/src/gateway/admission_queues.rs
+++ b/crates/router/src/gateway/admission_queues.rs
@@ -69,6 +69,11 @@
         pauses.count(self.clock.now())
     }
 
+    /// Returns the number of targets in use that are not known to be warm.
+    pub fn cold_targets(&self) -> usize {
+        self.queues().values().map(|it| it.cold_targets()).sum()
+    }
+
     /// Resolves when no queue has a request that waits or runs.
     pub async fn idle(&self) {
         while self.queues().values().any(|it| it.is_busy()) {
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -16,7 +16,7 @@
 use super::{
     GatewayRequest, QueueId,
     admission_queue::{AdmissionQueue, SlotGuard},
-    confirm::confirm,
+    confirm::{confirm, verify},
     poison,
     retry_after::retry_after,
     standing::Standing,
@@ -30,6 +30,10 @@
 /// Longest wait for a new connection to a target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time without an answer after which a target may have ended, because a machine that loses power does
+/// not close its connections.
+const SILENT_MS: Millis = 1_000;
+
 /// Longest wait for a target to be granted a key that is moving to it.
 const GRANT_WAIT_MS: u64 = 600;
 
@@ -107,6 +111,11 @@
         KeyState::NotOwned => return Some(AttemptOutcome::not_sent(Reason::NotGateway)),
     };
     let began = node.clock.now();
+    if let Some(check) = slot.take_check() {
+        // The check does not delay the request, which the pace of cold targets allows in any case.
+        let service = Arc::clone(&request.service);
+        tokio::spawn(verify(Arc::clone(node), check, service));
+    }
     let mut outcome = exchange(node, &slot, request).await;
     if let AttemptOutcome::NotRun {
         reason: Reason::TargetPaused | Reason::TargetDraining,
@@ -138,6 +147,9 @@
             AttemptOutcome::NotRun { .. } | AttemptOutcome::Unknown(_) => {}
         }
     }
+    if is_connection_failure(&outcome, node.clock.now().saturating_sub(began)) {
+        slot.on_connection_failure(node);
+    }
     if matches!(outcome, AttemptOutcome::Unknown(Reason::TargetLost)) {
         poison::confirm_crash(node, &slot.pool, slot.incarnation.clone(), request).await;
     }
@@ -158,6 +170,22 @@
     Some(outcome)
 }
 
+/// Whether an attempt that took `took_ms` may have failed because the target has ended or cannot be
+/// reached.
+fn is_connection_failure(outcome: &AttemptOutcome, took_ms: Millis) -> bool {
+    match outcome {
+        AttemptOutcome::NotRun {
+            reason: Reason::TargetUnreachable,
+            ..
+        }
+        | AttemptOutcome::Unknown(Reason::TargetLost) => true,
+        AttemptOutcome::Unknown(Reason::DeadlineAfterStart) => took_ms >= SILENT_MS,
+        AttemptOutcome::Answered(_)
+        | AttemptOutcome::NotRun { .. }
+        | AttemptOutcome::Unknown(_) => false,
+    }
+}
+
 /// When a caller whose request was refused for `reason` should return.
 fn return_ms(queue: &AdmissionQueue, reason: Reason) -> Option<Millis> {
     match reason {
@@ -278,14 +306,15 @@
         return AttemptOutcome::Unknown(Reason::TargetLost);
     }
     let leaving = (node.profile.leaving)(&parts.headers, &slot.incarnation.target);
-    if !leaving && !(node.profile.may_leave)(&parts.headers) {
+    let closing = (node.profile.may_leave)(&parts.headers);
+    if !leaving && !closing {
         slot.on_serving(sent);
     }
     let mut outcome = outcome_of_answer(node, parts, body);
     if leaving {
         on_leaving(node, &slot.incarnation, sent, &mut outcome);
     }
-    if may_reuse(&outcome) {
+    if may_reuse(&outcome) && !closing {
         slot.pool.put_back(sender);
     }
     outcome
@@ -308,6 +337,9 @@
             ConnectError::Refused | ConnectError::Unreachable => Reason::TargetUnreachable,
             ConnectError::Exhausted => Reason::TargetShed,
         })?;
+        if slot.pool.take_broken() {
+            slot.on_connection_failure(node);
+        }
         if slot.is_paused() {
             slot.pool.put_back(sender);
             return Err(Reason::TargetPaused);
--- a/crates/router/src/gateway/member.rs
+++ b/crates/router/src/gateway/member.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use admission::{Health, HealthOutcome};
+use admission::{Health, HealthOutcome, WarmUp, Warmth};
 use coordinator::Millis;
 use pool::Pool;
 
@@ -19,6 +19,10 @@
     pub(super) pool: Arc<Pool>,
     pub(super) running: usize,
     pub(super) health: Health,
+    /// The pace of requests to it while it is cold; `None` if its service has no limit.
+    pub(super) warm_up: Option<WarmUp>,
+    /// Whether it is used only while it is warm, because any number of hosts may use it.
+    pub(super) only_warm: bool,
     /// The newest pause that it asked for.
     pub(super) pause: Pause,
     /// Exponential moving average of service times in milliseconds; `None` before the first answer.
@@ -42,6 +46,8 @@
             entry,
             running: 0,
             health: Health::new(),
+            warm_up: None,
+            only_warm: false,
             pause: Pause::default(),
             mean_ms: None,
             closed_from: None,
@@ -53,14 +59,54 @@
 
     /// Whether requests may be sent to it at `now`.
     pub(super) fn admits(&self, now: Millis) -> bool {
-        now >= self.doubted_until && self.closed_from.is_none_or(|it| now < it)
+        now >= self.doubted_until
+            && self.closed_from.is_none_or(|it| now < it)
+            && !(self.only_warm && self.warmth(now) != Warmth::Warm)
     }
 
-    /// Requests that it may run at once.
+    /// Requests that it may run at once. While the pace of a cold target allows no other one, these
+    /// are the running ones.
     pub(super) fn slots(&self, now: Millis) -> usize {
+        let slots = self.unpaced_slots(now);
+        match self.next_start(now) {
+            None => slots,
+            Some(next) => {
+                let may_start = next <= now && self.admits(now);
+                slots.min(self.running + usize::from(may_start))
+            }
+        }
+    }
+
+    /// Requests that it may run at once when its pace does not limit them.
+    pub(super) fn unpaced_slots(&self, now: Millis) -> usize {
         self.pause.slots(now, self.capacity(now))
     }
 
+    /// Whether its pace allows another request at `now`.
+    pub(super) fn may_start(&self, now: Millis) -> bool {
+        self.next_start(now).is_none_or(|it| it <= now)
+    }
+
+    /// When its pace allows another request; `None` if it is not limited.
+    pub(super) fn next_start(&self, now: Millis) -> Option<Millis> {
+        self.warm_up.as_ref()?.next_start(now)
+    }
+
+    /// What is known of its caches.
+    pub(super) fn warmth(&self, now: Millis) -> Warmth {
+        let warm_up = self.warm_up.as_ref();
+        warm_up.map_or(Warmth::Warm, |it| it.warmth(now))
+    }
+
+    /// Records that a request is sent to it.
+    pub(super) fn on_start(&mut self, now: Millis) {
+        self.running += 1;
+        self.last_used = now;
+        if let Some(it) = &mut self.warm_up {
+            it.on_start(now);
+        }
+    }
+
     /// Requests that it may run at once when no pause limits them.
     pub(super) fn capacity(&self, now: Millis) -> usize {
         let slots = usize::try_from(self.entry.slots).unwrap_or(1).max(1);
--- a/crates/router/src/observe.rs
+++ b/crates/router/src/observe.rs
@@ -10,8 +10,8 @@
 mod store;
 
 pub use attempt::{
-    Attempt, attempt, pause_started, queue_rejected, refused_unread, retry_after_ignored,
-    target_checked,
+    Attempt, WarmthChange, attempt, pause_started, queue_rejected, refused_unread,
+    retry_after_ignored, target_checked, warmth_changed,
 };
 pub use log_limiter::{LineKind, LogLimiter};
 pub use metrics::{Distance, Metrics};
--- a/crates/router/src/observe/attempt.rs
+++ b/crates/router/src/observe/attempt.rs
@@ -1,5 +1,6 @@
 //! Log lines about requests at a gateway.
 
+use admission::Warmth;
 use coordinator::{Incarnation, Millis};
 use http::HeaderValue;
 use refusal::Reason;
@@ -101,6 +102,42 @@
     );
 }
 
+/// A change of what this gateway knows of the caches of a target.
+#[derive(Clone, Copy, Debug)]
+pub struct WarmthChange {
+    /// What it knew.
+    pub before: Warmth,
+    /// What it knows now.
+    pub after: Warmth,
+    /// How it learned: `store`, `check` or `connection`.
+    pub cause: &'static str,
+}
+
+/// Records at `now` what this gateway has learned of the caches of a target.
+pub fn warmth_changed(node: &Node, incarnation: &Incarnation, it: WarmthChange, now: Millis) {
+    if it.before == it.after {
+        return;
+    }
+    let Some(left_out) = node.may_log(LineKind::StateChange) else {
+        return;
+    };
+    let (state, cold_ms) = match it.after {
+        Warmth::Warm => ("warm", 0),
+        Warmth::Cold { until } => ("cold", until.saturating_sub(now)),
+        Warmth::Unverified => ("unverified", 0),
+    };
+    log::info!(
+        target: "attempt",
+        target_name = &*incarnation.target,
+        born = incarnation.started_ms,
+        state,
+        cold_ms,
+        cause = it.cause,
+        left_out;
+        "the pace of requests to a target changed"
+    );
+}
+
 /// Records that a target refused a request with an unusable `Retry-After`.
 pub fn retry_after_ignored(node: &Node, value: &HeaderValue) {
     let Some(left_out) = node.may_log(LineKind::Attempt) else {
--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -56,6 +56,9 @@
     unknown_kinds: Gauge<u64>,
     departure_news_ms: Histogram<f64>,
     target_checks: Counter<u64>,
+    cold_holds: Counter<u64>,
+    cold_targets: Gauge<u64>,
+    cold_checks: Counter<u64>,
     hop_bytes: Counter<u64>,
     log_lines_left_out: Counter<u64>,
     request_ms: Histogram<f64>,
@@ -88,6 +91,9 @@
             evacuated_places: meter.u64_gauge("evacuated_places").build(),
             unknown_kinds: meter.u64_gauge("routes_of_unknown_kind").build(),
             target_checks: counter("target_checks"),
+            cold_holds: counter("requests_held_for_cold_targets"),
+            cold_targets: meter.u64_gauge("cold_targets").build(),
+            cold_checks: counter("cold_target_checks"),
             departure_news_ms: histogram("departure_news_ms"),
             hop_bytes: counter("hop_body_bytes"),
             log_lines_left_out: counter("log_lines_left_out"),
@@ -188,6 +194,22 @@
             .add(1, &[KeyValue::new("serves", serves)]);
     }
 
+    /// Counts a request of a service that waits for the pace of cold targets.
+    pub fn held_for_cold(&self, service: &str) {
+        let labels = [KeyValue::new("service", service.to_owned())];
+        self.cold_holds.add(1, &labels);
+    }
+
+    /// Records the number of targets in use that are not known to be warm.
+    pub fn cold_targets(&self, count: usize) {
+        self.cold_targets.record(count as u64, &[]);
+    }
+
+    /// Counts a health check of a target that may be cold, by its result.
+    pub fn cold_check(&self, result: &'static str) {
+        self.cold_checks.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Records the number of targets that leave although their entry says that they are ready.
     pub fn leaving_targets(&self, count: usize) {
         let count = u64::try_from(count).unwrap_or(u64::MAX);
--- a/crates/router/src/operators.rs
+++ b/crates/router/src/operators.rs
@@ -36,6 +36,7 @@
     if request.uri().path() == "/metrics" {
         node.metrics.leaving_targets(node.targets().leaving_count());
         node.metrics.paused_targets(node.queues.paused_targets());
+        node.metrics.cold_targets(node.queues.cold_targets());
         node.metrics
             .evacuated_places(node.evacuations().active_count());
         node.metrics.unknown_kinds(unknown_kinds(node));
--- a/crates/router/src/peers/hosts.rs
+++ b/crates/router/src/peers/hosts.rs
@@ -124,12 +124,23 @@
     /// Hosts that meet much less of the queue's need than the best one come last.
     #[must_use]
     pub fn ranked(&self, place: &str, name: &str, need: GatewayNeed) -> Vec<&HostInfo> {
+        self.ranked_among(|it| *it.place == *place, name, need)
+    }
+
+    /// The hosts that meet a condition, in the same order of preference.
+    #[must_use]
+    pub fn ranked_among(
+        &self,
+        is_candidate: impl Fn(&HostInfo) -> bool,
+        name: &str,
+        need: GatewayNeed,
+    ) -> Vec<&HostInfo> {
         let mut ranked: Vec<(f64, &HostInfo)> = Vec::new();
-        let in_place = self.list.values().filter(|it| *it.place == *place);
-        let most_met = in_place.map(|it| need.met_by(it)).fold(0.0, f64::max);
+        let candidates = self.list.values().filter(|it| is_candidate(it));
+        let most_met = candidates.map(|it| need.met_by(it)).fold(0.0, f64::max);
         let suits = |it: &HostInfo| need.met_by(it) >= most_met * SUITABLE_SHARE;
         for host in self.list.values() {
-            if *host.place != *place {
+            if !is_candidate(host) {
                 continue;
             }
             let seed = xxh3_64_with_seed(host.name.as_bytes(), 0);
--- a/crates/router/src/ports/protocol_profile.rs
+++ b/crates/router/src/ports/protocol_profile.rs
@@ -1,5 +1,6 @@
 //! Header names and refusal statuses of the protocol.
 
+use coordinator::Millis;
 use http::{HeaderMap, HeaderName, StatusCode};
 use refusal::Refusal;
 
@@ -17,6 +18,10 @@
 /// stop.
 pub type HealthSign = fn(StatusCode, &HeaderMap, &str) -> bool;
 
+/// Returns the remaining time in milliseconds for which a target is cold, from the headers of its answer
+/// to a health check; `None` if it cannot be read.
+pub type ColdTime = fn(&HeaderMap) -> Option<Millis>;
+
 /// The header names and refusal statuses of the protocol that callers and targets speak.
 #[derive(Clone, Debug)]
 pub struct ProtocolProfile {
@@ -38,6 +43,8 @@
     pub may_leave: DepartureHint,
     /// Reads the answer to a health check.
     pub healthy: HealthSign,
+    /// Reads from the answer to a health check how long the target stays cold.
+    pub cold_time: ColdTime,
     /// Maps a refusal to its HTTP status.
     pub status: RefusalStatus,
 }
--- a/crates/router/src/state/targets.rs
+++ b/crates/router/src/state/targets.rs
@@ -49,10 +49,20 @@
 struct KnownTarget {
     rev: Revision,
     entry: Arc<TargetEntry>,
+    times: EntryTimes,
     /// When the entry was removed; the target may still run.
     gone_since: Option<Millis>,
 }
 
+/// When this host learned what it knows of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EntryTimes {
+    /// When it learned the latest entry.
+    pub learned: Millis,
+    /// Since when it has known the incarnation to be registered without an interruption.
+    pub registered: Millis,
+}
+
 impl Targets {
     /// Applies an update; returns whether it changed anything.
     pub fn apply(
@@ -88,11 +98,20 @@
         if entry.state == TargetState::Ready && self.departures.contains(&entry.incarnation(name)) {
             entry.state = TargetState::Leaving;
         }
+        let former = self
+            .known
+            .get(name)
+            .filter(|it| it.gone_since.is_none() && it.entry.started_ms == entry.started_ms);
+        let times = EntryTimes {
+            learned: now,
+            registered: former.map_or(now, |it| it.times.registered),
+        };
         let entry = Arc::new(entry);
         let gone_since = None;
         let known = KnownTarget {
             rev,
             entry,
+            times,
             gone_since,
         };
         self.known.insert(Arc::clone(name), known);
@@ -248,6 +267,13 @@
         Some(&known.entry)
     }
 
+    /// When this host learned what it knows of a registered target.
+    #[must_use]
+    pub fn times(&self, name: &str) -> Option<EntryTimes> {
+        let known = self.known.get(name).filter(|it| it.gone_since.is_none())?;
+        Some(known.times)
+    }
+
     /// Names of the registered targets that are missing from a complete list as of `rev`.
     #[must_use]
     pub fn missing_from(&self, names: &[Arc<str>], rev: Revision) -> Vec<Arc<str>> {
