--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -15,6 +15,7 @@
 mod queue;
 mod retry;
 mod retry_budget;
+mod warm_up;
 
 pub use backoff::Backoff;
 pub use choice::{Candidate, Preference, ReportedLoad, TargetPace};
@@ -31,6 +32,7 @@
 };
 pub use retry::{Attempt, Idempotency, RetryDecision, RetryScope, retry_decision};
 pub use retry_budget::{RetryBudget, RetryVerdict};
+pub use warm_up::{WarmUp, Warmth};
 
 /// Milliseconds of a monotonic clock.
 pub type Millis = u64;
--- a/crates/router/src/ports/protocol_profile.rs
+++ b/crates/router/src/ports/protocol_profile.rs
@@ -1,6 +1,7 @@
 //! Header names and refusal statuses of the protocol.
 
 use admission::ReportedLoad;
+use coordinator::Millis;
 use http::{HeaderMap, HeaderName, StatusCode};
 use refusal::Refusal;
 
@@ -21,6 +22,10 @@
 /// Reads the load that the target states in an answer; `None` if it states none that is readable.
 pub type LoadReading = fn(&HeaderMap) -> Option<ReportedLoad>;
 
+/// Returns the remaining time in milliseconds for which a target is cold, from the headers of its answer
+/// to a health check; `None` if it cannot be read.
+pub type ColdTime = fn(&HeaderMap) -> Option<Millis>;
+
 /// The header names and refusal statuses of the protocol that callers and targets speak.
 #[derive(Clone, Debug)]
 pub struct ProtocolProfile {
@@ -44,6 +49,8 @@
     pub load: LoadReading,
     /// Reads the answer to a health check.
     pub healthy: HealthSign,
+    /// Reads from the answer to a health check how long the target stays cold.
+    pub cold_time: ColdTime,
     /// Maps a refusal to its HTTP status.
     pub status: RefusalStatus,
 }
--- a/crates/routing/src/catalog.rs
+++ b/crates/routing/src/catalog.rs
@@ -97,12 +97,12 @@
         let restricted = routes.any(|it| !it.regions.is_empty());
         let mixed = restricted || !bulk.is_empty() || services.values().any(|it| it.cold.is_some());
         Ok(Self {
-            mixed,
-            bulk,
             version,
             hosts,
             services,
             limits,
+            bulk,
+            mixed,
         })
     }
 
