Keep requests that may run once at a gateway that is slow to answer

A caller of a request that is not idempotent received 502 while its gateway still held the request, if the gateway did not answer an HTTP/2 ping within 700 ms: on a host with 0.075 cores, or behind a full link. The entry host's connection failed, and with it every request in flight on it. Only requests that were forwarded after the entry host had begun to stop were spared.

The forwarder keeps its own connections, one to each host for new requests. A connection that carries requests and receives nothing for 500 ms is checked with a small request; if nothing arrives within 700 ms after that, it is retired: new requests use another one, idempotent ones that can be retried fail as gateway_lost, and the others wait for their answer until their end or until the connection fails. On a stopping host all wait.

--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -163,7 +163,7 @@
         let forwarded = node.clock.now();
         let outcome = node
             .forwarder
-            .send(node, host.forward, gateway_request)
+            .send(node, host, gateway_request, self.repeat())
             .await;
         match &outcome {
             AttemptOutcome::Answered(answer) => {
@@ -187,6 +187,17 @@
         outcome
     }
 
+    /// Whether the next attempt may be abandoned at a gateway that does not answer. The last one is
+    /// not, because nothing would follow it.
+    fn repeat(&self) -> Repeat {
+        let route = &self.request.route;
+        if self.possible_runs + 1 < route.attempts {
+            route.repeat
+        } else {
+            Repeat::Forbidden
+        }
+    }
+
     /// Decides whether to retry after an attempt that did not run.
     async fn on_not_run(
         &mut self,
--- a/crates/router/src/gateway/hop.rs
+++ b/crates/router/src/gateway/hop.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use coordinator::{Incarnation, Millis};
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, Uri, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header};
 use http_body_util::Full;
 use refusal::Reason;
 
@@ -34,6 +34,33 @@
 /// Start time and name of the target that answered, if it is about to stop.
 const LEAVING: HeaderName = HeaderName::from_static("hop-leaving");
 
+/// Marks a request that only asks whether the host answers.
+const CHECK: HeaderName = HeaderName::from_static("hop-check");
+
+/// Returns a request that a host answers at once. A host that does not know it yet refuses it as one
+/// that it cannot read, which shows as well that it answers.
+pub(super) fn check_request(to: &str) -> Request<Full<Bytes>> {
+    let uri = Uri::builder().scheme("http").authority(to);
+    let uri = uri.path_and_query("/").build();
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = uri.expect("an address and a path form a valid URI");
+    let headers = request.headers_mut();
+    headers.insert(CHECK, HeaderValue::from_static("1"));
+    request
+}
+
+/// Whether a request only asks whether the host answers.
+pub(super) fn is_check(headers: &HeaderMap) -> bool {
+    headers.contains_key(CHECK)
+}
+
+/// The answer to such a request.
+pub(super) fn check_answer() -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::NO_CONTENT;
+    response
+}
+
 /// Encodes a request as an HTTP request to the gateway with the authority `to`.
 pub(super) fn request_of(
     gateway_request: &GatewayRequest,
@@ -47,7 +74,7 @@
         .build()
         .expect("an address and a parsed path form a valid URI");
     let mut headers = gateway_request.headers.clone();
-    for name in [TARGET, PLACE, KEY, WAIT_LIMIT, HOST] {
+    for name in [TARGET, PLACE, KEY, WAIT_LIMIT, HOST, CHECK] {
         headers.remove(name);
     }
     if let Some(host) = headers.remove(header::HOST) {
--- a/crates/router/src/gateway/hop/tests.rs
+++ b/crates/router/src/gateway/hop/tests.rs
@@ -86,10 +86,8 @@
     }
 }
 
-/// Guards against a forwarded request that counts as new at its gateway.
-#[test]
-fn a_forwarded_request_keeps_its_age() {
-    let request = GatewayRequest {
+fn request(headers: HeaderMap) -> GatewayRequest {
+    GatewayRequest {
         queue: QueueId::Target("a".into()),
         service: "archive".into(),
         route: "browse".into(),
@@ -102,9 +100,25 @@
         deadline: 7_000,
         method: Method::GET,
         path: "/browse/7".parse().expect("the path is valid"),
-        headers: HeaderMap::new(),
+        headers,
         body: Bytes::new(),
-    };
+    }
+}
+
+/// Guards against a request of a caller that is answered as a check, and does not reach its target.
+#[test]
+fn only_hosts_send_checks() {
+    let check = check_request("127.0.0.1:9");
+    assert!(is_check(check.headers()));
+    let forged = check.headers().clone();
+    let forwarded = request_of(&request(forged), "127.0.0.1:9", 4_300);
+    assert!(!is_check(forwarded.headers()));
+}
+
+/// Guards against a forwarded request that counts as new at its gateway.
+#[test]
+fn a_forwarded_request_keeps_its_age() {
+    let request = request(HeaderMap::new());
     let (parts, _) = request_of(&request, "127.0.0.1:9", 4_300).into_parts();
     let received = gateway_request_of(Request::from_parts(parts, Bytes::new()), 90_000);
     let received = received.expect("the request is complete");
--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -47,6 +47,9 @@
 }
 
 async fn answer(node: &Arc<Node>, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    if hop::is_check(request.headers()) {
+        return hop::check_answer();
+    }
     let (parts, body) = request.into_parts();
     let head = Request::from_parts(parts, Bytes::new());
     let outcome = match hop::gateway_request_of(head, node.clock.now()) {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -131,6 +131,7 @@
         let clock = BootClock::new();
         let metrics = Arc::new(Metrics::new());
         let store_contact = Arc::<Mutex<StoreContact>>::default();
+        let forwarder = Forwarder::new(clock, Arc::clone(&metrics));
         let store = ObservedStore::new(
             ports.store,
             Arc::clone(&metrics),
@@ -151,7 +152,7 @@
             queues: AdmissionQueues::new(clock),
             answer_limits: body_limits(&settings, ANSWERS_SHARE),
             request_limits: body_limits(&settings, REQUESTS_SHARE),
-            forwarder: Forwarder::new(),
+            forwarder,
             retry_budgets: RetryBudgets::new(
                 settings.bounds.retry_ratio,
                 settings.bounds.retry_window,
--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -51,6 +51,7 @@
     paused_targets: Gauge<u64>,
     former_holds: Counter<u64>,
     departures: Counter<u64>,
+    retired_connections: Counter<u64>,
     leaving_targets: Gauge<u64>,
     evacuated_places: Gauge<u64>,
     unknown_kinds: Gauge<u64>,
@@ -84,6 +85,7 @@
             paused_targets: meter.u64_gauge("paused_targets").build(),
             former_holds: counter("former_holds"),
             departures: counter("departures_learned"),
+            retired_connections: counter("retired_connections"),
             leaving_targets: meter.u64_gauge("leaving_targets").build(),
             evacuated_places: meter.u64_gauge("evacuated_places").build(),
             unknown_kinds: meter.u64_gauge("routes_of_unknown_kind").build(),
@@ -215,6 +217,12 @@
         }
     }
 
+    /// Counts a connection to another host that is used for no new requests, because the host did
+    /// not answer on it.
+    pub fn retired_connection(&self) {
+        self.retired_connections.add(1, &[]);
+    }
+
     /// Counts a suppressed log line.
     pub fn line_left_out(&self, kind: LineKind) {
         let labels = [KeyValue::new("kind", kind.label())];
