Look for a new configuration as soon as the coordinator does not answer

The others looked for a version only when their state was 1.5 s old, and asked the lost relay first each time, which took up to 0.8 s. They now look when a report gets no answer (0.9 s), and treat a relay that does not answer as suspect, so that another one is asked.

--- a/crates/router/src/control/configuration.rs
+++ b/crates/router/src/control/configuration.rs
@@ -133,7 +133,12 @@
         fresh: true,
     };
     let answer = tokio::time::timeout(RELAY_TIMEOUT, ask(node, relay.peer, query)).await;
-    answer.is_ok_and(|it| it.is_some()) && node.catalog_age_ms() <= MAX_RELAYED_AGE_MS
+    if !answer.is_ok_and(|it| it.is_some()) {
+        // Without a coordinator, no one else says that the relay has been lost.
+        node.suspects.suspect(&relay.name, node.clock.now());
+        return false;
+    }
+    node.catalog_age_ms() <= MAX_RELAYED_AGE_MS
 }
 
 /// The host of this data centre that fetches versions for the others: one with the most power, which
--- a/crates/router/src/control/follow.rs
+++ b/crates/router/src/control/follow.rs
@@ -186,6 +186,8 @@
             match exchange(node, &client, store_reachable.take()).await {
                 None => {
                     failures += 1;
+                    // The store may have accepted a version of the configuration since the last reply.
+                    node.refresh_soon.notify_one();
                     break;
                 }
                 Some((reply, sent)) => {
