Take no answer with an invalid status for the answer of a target

A failing target that answered with status 101, 600, 777 or 999 was passed on as it was: the caller received that status as the response to its request, and the connection was used again. Statuses below 100 were already rejected by the HTTP library, and 103 is skipped by it. Both modes had the fault.

pool::is_final accepts 200 to 599. Sender::fetch and fetch_head fail on other statuses, which covers requests, health checks, orders and the store on the platform; the mode with the operators' document checks the head of the answer in dispatch. The outcome is unknown (target_lost), the connection is closed, and idempotent requests are retried as after any other target_lost.

--- a/crates/pool/src/answer.rs
+++ b/crates/pool/src/answer.rs
@@ -11,6 +11,7 @@
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
+use http::StatusCode;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Body;
 use thiserror::Error;
@@ -30,6 +31,15 @@
     TooManyBytes,
     /// no byte of the body arrived for {0:?}
     Stalled(Duration),
+    /// {0} is not the status of a final answer
+    Status(StatusCode),
+}
+
+/// Whether an answer with this status is one, from 200 to 599. Informational ones are followed by
+/// another; 101 ends the protocol on a connection, which no request here asks for.
+#[must_use]
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
 }
 
 /// Limits of bodies that are read into memory.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -10,7 +10,7 @@
 mod pool;
 mod sender;
 
-pub use answer::{AnswerError, AnswerLimits};
+pub use answer::{AnswerError, AnswerLimits, is_final};
 pub use head_limits::{MAX_ANSWER_HEADERS, MAX_HEAD_BYTES, MAX_HEADER_LIST_BYTES, max_headers};
 pub use pool::{ConnectError, Freshness, Pool};
 pub use sender::Sender;
--- a/crates/pool/src/sender.rs
+++ b/crates/pool/src/sender.rs
@@ -18,6 +18,7 @@
 use crate::{
     AnswerError, AnswerLimits, MAX_ANSWER_HEADERS,
     allowance::{Allowance, LimitedStream},
+    answer::is_final,
 };
 
 /// Longest head of an answer, and most bytes that are buffered unread.
@@ -94,8 +95,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection fails or the answer exceeds a limit. The sender must be dropped
-    /// then.
+    /// Fails if the connection fails, or the answer exceeds a limit or has no final status. The
+    /// sender must be dropped then.
     pub async fn fetch(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -110,8 +111,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection fails or the head exceeds its limit. The sender must be dropped
-    /// then.
+    /// Fails if the connection fails, or the head exceeds its limit or has no final status. The
+    /// sender must be dropped then.
     pub async fn fetch_head(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -119,6 +120,9 @@
     ) -> Result<Response<Incoming>, AnswerError> {
         self.allowance.set(HEAD_ALLOWANCE_BYTES);
         let answer = self.requests.send_request(request).await?;
+        if !is_final(answer.status()) {
+            return Err(AnswerError::Status(answer.status()));
+        }
         self.note_timeout(answer.headers());
         // Chunks may add to the body as many bytes as it has, besides a minimum for short ones.
         let allowance = 2 * limits.each() + HEAD_ALLOWANCE_BYTES;
@@ -127,7 +131,7 @@
     }
 
     /// Sends a request and reads the head of the answer. The body is read as the caller consumes
-    /// it and has no limit.
+    /// it and has no limit. Its status may be any; see [`crate::is_final`].
     ///
     /// # Errors
     ///
--- a/crates/router/src/entry/request.rs
+++ b/crates/router/src/entry/request.rs
@@ -120,7 +120,10 @@
             Ok(Ok(body)) => body,
             Ok(Err(AnswerError::TooLong(_))) => return Err(Reason::BodyTooLarge),
             Ok(Err(AnswerError::TooManyBytes)) => return Err(Reason::QueueFull),
-            Ok(Err(AnswerError::Connection(_) | AnswerError::Stalled(_))) | Err(_) => {
+            Ok(Err(
+                AnswerError::Connection(_) | AnswerError::Stalled(_) | AnswerError::Status(_),
+            ))
+            | Err(_) => {
                 return Err(Reason::BodyIncomplete);
             }
         };
--- a/crates/sassafrasd/src/dispatch/attempt.rs
+++ b/crates/sassafrasd/src/dispatch/attempt.rs
@@ -8,7 +8,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use ownership::Permit;
-use pool::{ConnectError, Freshness, Sender};
+use pool::{ConnectError, Freshness, Sender, is_final};
 use refusal::{Ran, Reason, Refusal};
 
 use crate::{
@@ -132,6 +132,15 @@
             return Err(attempt_error(host, target, guards.slot, failure).await);
         }
     };
+    if !is_final(response.status()) {
+        log::debug!(
+            "target {} answered with status {}",
+            target.id.target,
+            response.status()
+        );
+        let failure = classify(host, inbound, Failure::Broken, limit);
+        return Err(attempt_error(host, target, guards.slot, failure).await);
+    }
     let update = apply_headers(host, target, response.headers());
     if update == TargetUpdate::DrainBegan && !inbound.service().checks_grants {
         tokio::spawn(probe::poll_until_drain_ends(
--- a/crates/sassafrasd/src/dispatch/attempt/tests.rs
+++ b/crates/sassafrasd/src/dispatch/attempt/tests.rs
@@ -4,6 +4,10 @@
 use std::net::SocketAddr;
 
 use ownership::VOTE_MS;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 use super::*;
 use crate::{dispatch::acquire_slot, fake};
@@ -76,3 +80,55 @@
         }
     }
 }
+
+/// A server that answers each request with `status` and keeps its connections open.
+async fn start_server(status: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = Vec::new();
+                while stream.read_buf(&mut request).await.is_ok_and(|it| it > 0) {
+                    if request.ends_with(b"\r\n\r\n") {
+                        request.clear();
+                        let answer =
+                            format!("HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\nok");
+                        stream.write_all(answer.as_bytes()).await.unwrap();
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against an answer with an invalid status that reaches a caller, and against a refusal which
+/// says that a request that was answered so has not run.
+#[tokio::test]
+async fn an_invalid_status_is_no_answer() {
+    for (status, valid) in [
+        ("000", false),
+        ("099", false),
+        ("101", false),
+        ("103", false),
+        ("200", true),
+        ("599", true),
+        ("600", false),
+        ("999", false),
+    ] {
+        let host = fake::host(SocketAddr::from(([127, 0, 0, 1], 1)));
+        let target = fake::gateway_target(&host, start_server(status).await);
+        let inbound = fake::inbound(&host, 5_000);
+        let mut slot = acquire_slot(&host, &target, &inbound).await.ok().unwrap();
+        let mut guards = HeldGuards {
+            slot: &mut slot,
+            claim: &mut None,
+        };
+        let limit = Duration::from_secs(5);
+        let sent = send(&host, &target, &inbound, &mut guards, Freshness::Any, limit).await;
+        let refusal = sent.err().map(|it| (it.refusal.reason, it.refusal.ran));
+        let expected = (!valid).then_some((Reason::TargetLost, Ran::Unknown));
+        assert_eq!(refusal, expected, "{status}");
+    }
+}
