Count the bytes of answers until callers have read them

The share of a host's memory for answers counted a body only while it was being read from the target or gateway. Callers that read slowly could hold any number of answers of up to 8 MB, beyond the memory of a host of 120 MB. The bytes now count until they are dropped, as those of requests do. `has_room` tells whether a further long body can be expected to fit.

--- a/crates/pool/src/answer.rs
+++ b/crates/pool/src/answer.rs
@@ -37,6 +37,8 @@
 pub struct AnswerLimits {
     /// Longest body in bytes.
     each: usize,
+    /// The total of the bodies that are being read or kept, in bytes.
+    total: usize,
     /// What is left of the total of the bodies that are being read or kept, in bytes.
     left: Arc<AtomicUsize>,
 }
@@ -48,10 +50,17 @@
     pub fn new(each: usize, total: usize) -> Self {
         Self {
             each,
+            total,
             left: Arc::new(AtomicUsize::new(total)),
         }
     }
 
+    /// Whether a quarter of the total is left, so that a further long body can be expected to fit.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.left.load(Ordering::Relaxed) >= self.total / 4
+    }
+
     /// The longest body in bytes.
     #[must_use]
     pub fn each(&self) -> usize {
--- a/crates/pool/src/sender.rs
+++ b/crates/pool/src/sender.rs
@@ -102,7 +102,7 @@
         limits: &AnswerLimits,
     ) -> Result<Response<Bytes>, AnswerError> {
         let (parts, body) = self.fetch_head(request, limits).await?.into_parts();
-        let body = limits.read(body).await?;
+        let body = limits.read_kept(body, limits.each()).await?;
         Ok(Response::from_parts(parts, body))
     }
 
--- a/crates/router/src/gateway/forward.rs
+++ b/crates/router/src/gateway/forward.rs
@@ -12,7 +12,7 @@
 use refusal::Reason;
 
 use super::{AttemptOutcome, GatewayRequest, hop};
-use crate::node::Node;
+use crate::{entry::MAX_BODY_BYTES, node::Node};
 
 /// Interval of HTTP/2 pings while requests are in flight; they detect connections that went silent.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
@@ -97,7 +97,7 @@
                 }
             };
             let (parts, body) = answer.into_parts();
-            match node.answer_limits.read(body).await {
+            match node.answer_limits.read_kept(body, MAX_BODY_BYTES).await {
                 Ok(body) => hop::outcome_of(http::Response::from_parts(parts, body)),
                 Err(err) => {
                     log::debug!("the answer of {address} is incomplete: {err}");
