Refuse restricted requests at once while their region is cut off

Requests of a route with allowed_regions waited until their deadline while nothing in these regions could be reached: 3.0 s for each of 20 requests, refused as deadline_before_start. Such a request now goes to a target without a host near it after two hosts there could not be reached; if two targets fail as well, or all do, the data centre counts as cut off for 1 s for restricted routes of this host, which are refused as region_unavailable. A key owned elsewhere is waited for only if it can move, and a restricted request is not sent to an owner whose region is not known.

Requests that waited for a target of an evacuated data centre stayed there until a slot became free or they timed out, and were refused as target_draining. They are refused as place_evacuated when the bound is reached and sent elsewhere if they have no key. Downloads are refused as queue_full before they run when little of the share for answers is left.

--- a/crates/router/src/entry/deliver.rs
+++ b/crates/router/src/entry/deliver.rs
@@ -7,7 +7,7 @@
 use http::Response;
 use http_body::Body as _;
 use refusal::{Ran, Reason, Refusal};
-use routing::Repeat;
+use routing::{Repeat, Volume};
 use smallvec::SmallVec;
 
 use super::{
@@ -29,6 +29,11 @@
 /// Longest time for which a request waits until its key has an owner that can be reached.
 const MAX_OWNER_WAIT_MS: Millis = 700;
 
+/// Hosts of a data centre that cannot be reached before a request of a restricted route is sent to the
+/// target without them, and targets that cannot be reached then before the data centre counts as cut
+/// off. One can be lost by itself; each takes up to 300 ms to notice.
+const MAX_LOST: u32 = 2;
+
 /// Answers a request, or returns why it is refused.
 pub async fn run(node: &Arc<Node>, request: &RoutedRequest) -> Result<Response<Body>, Refusal> {
     let mut trace = RequestTrace::new(node, request);
@@ -63,7 +68,14 @@
         ran: Ran::NotRun,
         excluded: Vec::new(),
         paused: Vec::new(),
+        lost_hosts: 0,
+        lost_targets: 0,
     };
+    let route = &request.route;
+    let is_download = route.volume == Volume::Large && route.repeat == Repeat::Allowed;
+    if is_download && !node.answer_limits.has_room() {
+        return Err(Reason::QueueFull.into());
+    }
     if node
         .poison_requests
         .is_quarantined(&gateway_request, request.arrived)
@@ -121,11 +133,15 @@
     excluded: Vec<QueueId>,
     /// Queues all of whose targets are in a pause.
     paused: Vec<QueueId>,
+    /// Hosts that could not be reached.
+    lost_hosts: u32,
+    /// Targets of other data centres that this host itself could not reach.
+    lost_targets: u32,
 }
 
 impl Delivery<'_> {
     async fn attempt(
-        &self,
+        &mut self,
         gateway_request: &mut GatewayRequest,
         trace: &mut RequestTrace<'_>,
     ) -> AttemptOutcome {
@@ -140,20 +156,28 @@
             }
         };
         if let QueueId::Target(target) = &queue
-            && self.is_closed(target)
+            && let Some(reason) = self.closed_reason(target)
         {
-            let outcome = AttemptOutcome::not_sent(Reason::TargetDraining);
+            let outcome = AttemptOutcome::not_sent(reason);
             trace.step(Some(queue), &node.info.name, began, &outcome);
             return outcome;
         }
         gateway_request.queue = queue;
         gateway_request.wait_limit = wait_limit;
         let other = gateway_of(node, &gateway_request.service, &gateway_request.queue)
-            .filter(|it| it.name != node.info.name);
+            .filter(|it| it.name != node.info.name && !self.goes_alone());
+        let is_cut = other.is_none() && self.is_unreachable(&gateway_request.queue);
         let (outcome, host) = match &other {
             Some(host) => (self.forward(gateway_request, host).await, &host.name),
+            None if is_cut => {
+                let outcome = AttemptOutcome::not_sent(Reason::TargetUnreachable);
+                (outcome, &node.info.name)
+            }
             None => (gateway::run(node, gateway_request).await, &node.info.name),
         };
+        if let AttemptOutcome::NotRun { reason, .. } = &outcome {
+            self.note_unreachable(&gateway_request.queue, *reason, is_cut);
+        }
         trace.step(Some(gateway_request.queue.clone()), host, began, &outcome);
         outcome
     }
@@ -221,8 +245,8 @@
                 self.excluded.push(gateway_request.queue.clone());
                 Ok(())
             }
-            // The data centre was evacuated while the request waited there.
-            Reason::TargetDraining
+            // The targets left, or the data centre was evacuated, while the request waited there.
+            Reason::TargetDraining | Reason::PlaceEvacuated
                 if gateway_request.key.is_none()
                     && !self.excluded.contains(&gateway_request.queue) =>
             {
@@ -235,8 +259,13 @@
                 self.excluded.push(gateway_request.queue.clone());
                 Ok(())
             }
-            // Keys that are owned outside the allowed regions are being moved.
-            Reason::RegionUnavailable if gateway_request.key.is_none() => Err(self.refusal(reason)),
+            // Keys that are owned outside the allowed regions are being moved if they can be.
+            Reason::RegionUnavailable
+                if gateway_request.key.is_none()
+                    || usable_for(self.node, self.request).is_err() =>
+            {
+                Err(self.refusal(reason))
+            }
             Reason::NoOwner
             | Reason::RegionUnavailable
             | Reason::NotGateway
@@ -255,6 +284,42 @@
         }
     }
 
+    /// Whether the request is sent to a target without a host near it, because those could not be
+    /// reached. This host is the only one that may carry its body then.
+    fn goes_alone(&self) -> bool {
+        !self.request.route.regions.is_empty() && self.lost_hosts >= MAX_LOST
+    }
+
+    /// Whether all targets of a pool in another data centre fail as this host sees them, so that a
+    /// request of a restricted route would wait in vain.
+    fn is_unreachable(&self, queue: &QueueId) -> bool {
+        let node = self.node;
+        let QueueId::Pool { place, .. } = queue else {
+            return false;
+        };
+        !self.request.route.regions.is_empty()
+            && *place != node.info.place
+            && node.queues.is_failing(queue)
+    }
+
+    /// Counts hosts and targets that could not be reached. A data centre that is cut off is not tried
+    /// for a while by requests of restricted routes, which nothing else can serve.
+    fn note_unreachable(&mut self, queue: &QueueId, reason: Reason, is_cut: bool) {
+        let node = self.node;
+        let QueueId::Pool { place, .. } = queue else {
+            return;
+        };
+        match reason {
+            Reason::OwnerUnreachable => self.lost_hosts += 1,
+            Reason::TargetUnreachable if *place != node.info.place => self.lost_targets += 1,
+            _ => return,
+        }
+        if is_cut || self.lost_targets >= MAX_LOST {
+            self.lost_targets = 0;
+            node.cut_places.suspect(place, node.clock.now());
+        }
+    }
+
     /// Decides whether to retry after an attempt that may have run.
     fn on_unknown(&mut self, reason: Reason) -> Result<(), Refusal> {
         self.ran = Ran::Unknown;
@@ -318,26 +383,32 @@
         let owner = Arc::clone(&slice.owner.target);
         drop(tables);
         let targets = node.targets();
+        let route = &self.request.route;
         let place = targets.get(&owner).map(|it| &it.place);
-        let allowed = place.is_none_or(|it| self.request.route.allows(node.settings.region(it)));
+        // A target that is not known yet may be in any region.
+        let allowed = place.map_or(route.regions.is_empty(), |it| {
+            route.allows(node.settings.region(it))
+        });
+        drop(targets);
         if allowed {
-            Ok(QueueId::Target(owner))
-        } else {
-            Err(Reason::RegionUnavailable)
+            return Ok(QueueId::Target(owner));
         }
+        let unusable = usable_for(node, self.request).err();
+        Err(unusable.unwrap_or(Reason::RegionUnavailable))
     }
 
-    /// Whether a target is sent no requests any more, because it is about to stop or its data centre
-    /// is evacuated.
-    fn is_closed(&self, target: &Arc<str>) -> bool {
+    /// Why a target is sent no requests any more: it is about to stop, or its data centre is
+    /// evacuated. `None` if it is sent requests.
+    fn closed_reason(&self, target: &Arc<str>) -> Option<Reason> {
         let node = self.node;
         let now = node.clock.now();
         let targets = node.targets();
-        let Some(entry) = targets.get(target) else {
-            return false;
-        };
-        let closed_from = targets.closed_from(&entry.incarnation(target), node.drain_ms());
-        closed_from.is_some_and(|it| now >= it) || node.access(&entry.place, now) == Access::Closed
+        let entry = targets.get(target)?;
+        if node.access(&entry.place, now) == Access::Closed {
+            return Some(Reason::PlaceEvacuated);
+        }
+        let closed_from = targets.closed_from(&entry.incarnation(target), node.drain_ms())?;
+        (now >= closed_from).then_some(Reason::TargetDraining)
     }
 }
 
--- a/crates/router/src/entry/places.rs
+++ b/crates/router/src/entry/places.rs
@@ -19,7 +19,7 @@
     pub place: Arc<str>,
     /// Its distance from this host.
     pub distance: Distance,
-    /// Whether the route may use its region.
+    /// Whether the route may use its region, and the place is not cut off if it may use only some.
     pub allowed: bool,
     /// Whether it is evacuated.
     pub access: Access,
@@ -72,6 +72,8 @@
 pub fn usable_for(node: &Node, request: &RoutedRequest) -> Result<Places, Reason> {
     let service = &request.gateway_request.service;
     let now = node.clock.now();
+    let route = &request.route;
+    let is_cut = |place: &str| !route.regions.is_empty() && node.cut_places.is_suspect(place, now);
     let mut views: SmallVec<[PlaceView; 4]> = SmallVec::new();
     let targets = node.targets();
     for (_, entry) in targets.registered() {
@@ -86,7 +88,7 @@
         let place = &entry.place;
         views.push(PlaceView {
             distance: distance(node, place),
-            allowed: request.route.allows(node.settings.region(place)),
+            allowed: route.allows(node.settings.region(place)) && !is_cut(place),
             access: node.access(place, now),
             place: Arc::clone(place),
             ready,
--- a/crates/router/src/entry/suspects.rs
+++ b/crates/router/src/entry/suspects.rs
@@ -1,4 +1,4 @@
-//! Hosts that recently failed to answer.
+//! Hosts or data centres that recently failed to answer.
 
 use std::{
     collections::HashMap,
@@ -10,7 +10,7 @@
 /// Time in milliseconds for which a host that did not answer is sent no requests.
 const SUSPECT_MS: Millis = 1_000;
 
-/// Hosts that recently failed to answer.
+/// Hosts or data centres that recently failed to answer, by name.
 #[derive(Default)]
 pub struct Suspects {
     suspected_until: Mutex<HashMap<Arc<str>, Millis>>,
--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -20,7 +20,7 @@
 use crate::{
     node::Node,
     peers::{KeyCount, RouteCost, TargetLoad},
-    state::TargetState,
+    state::{Access, TargetState},
 };
 
 /// Maximum number of waiting requests for each slot of a target.
@@ -127,6 +127,9 @@
             if inner.members.is_empty() {
                 return Err(Reason::NoOwner);
             }
+            if inner.is_evacuated(node, now) {
+                return Err(Reason::PlaceEvacuated);
+            }
             if !inner.members.iter().any(|it| it.admits(now)) {
                 return Err(Reason::TargetDraining);
             }
@@ -161,7 +164,7 @@
             id,
             decided: false,
         };
-        let decision = self.wait(node, request, decided).await;
+        let decision = self.wait(node, request, id, decided).await?;
         entry.decided = true;
         match decision {
             Decision::Start(_) => self.start(&mut self.lock(), id, request),
@@ -208,6 +211,13 @@
         }
     }
 
+    /// Whether all targets are failing.
+    pub(super) fn is_failing(&self) -> bool {
+        let now = self.clock.now();
+        let inner = self.lock();
+        !inner.members.is_empty() && inner.members.iter().all(|it| it.capacity(now) == 0)
+    }
+
     /// Whether a request waits or runs.
     pub(super) fn is_busy(&self) -> bool {
         let inner = self.lock();
@@ -241,13 +251,18 @@
         &self,
         node: &Node,
         request: &GatewayRequest,
+        id: u64,
         mut decided: oneshot::Receiver<Decision>,
-    ) -> Decision {
+    ) -> Result<Decision, Reason> {
         loop {
             let due = {
                 let mut inner = self.lock();
                 let now = self.clock.now();
                 inner.refresh(node, &self.pauses, &request.service, now);
+                // Not later than the next refresh, so that another data centre has time to answer.
+                if inner.is_evacuated(node, now) && inner.waiting.contains_key(&id) {
+                    return Err(Reason::PlaceEvacuated);
+                }
                 let decisions = inner.queue.expire(now);
                 inner.notify(decisions);
                 inner.queue.next_due(now).map(|it| it.saturating_sub(now))
@@ -258,7 +273,7 @@
             );
             tokio::select! {
                 decision = &mut decided => {
-                    return decision.expect("a waiting request gets a decision");
+                    return Ok(decision.expect("a waiting request gets a decision"));
                 }
                 () = tokio::time::sleep(pause) => {}
             }
@@ -352,6 +367,12 @@
         self.update_limits(now);
     }
 
+    /// Whether nothing is sent to the members, because their data centre is evacuated.
+    fn is_evacuated(&self, node: &Node, now: Millis) -> bool {
+        let closed = |it: &Member| node.access(&it.entry.place, now) == Access::Closed;
+        !self.members.is_empty() && self.members.iter().all(closed)
+    }
+
     /// Whether the request can be expected to be answered within its objective.
     fn meets_objective(&self, now: Millis, request: &GatewayRequest) -> bool {
         now + self.queue.estimated_wait_ms(now) + self.mean_ms() <= request.objective
--- a/crates/router/src/gateway/admission_queues.rs
+++ b/crates/router/src/gateway/admission_queues.rs
@@ -51,6 +51,12 @@
         queue
     }
 
+    /// Whether all targets of a queue that this host has used are failing.
+    pub fn is_failing(&self, id: &QueueId) -> bool {
+        let queue = self.queues().get(id).cloned();
+        queue.is_some_and(|it| it.is_failing())
+    }
+
     /// Takes the loads of all queues and the span in milliseconds over which they were collected.
     pub fn take_loads(&self) -> (u32, Vec<TargetLoad>) {
         let now = self.clock.now();
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -40,7 +40,7 @@
 /// Slices by service.
 pub type Tables = HashMap<Arc<str>, SliceTable>;
 
-/// Part of a host's memory for bodies of answers that are being read at the same time.
+/// Part of a host's memory for bodies of answers that are being read or that callers have not read.
 const ANSWERS_SHARE: usize = 4;
 
 /// Part of a host's memory for bodies of requests that are being read or wait for their answer.
@@ -82,6 +82,8 @@
     pub retry_budgets: RetryBudgets,
     /// Hosts that recently failed to answer.
     pub suspects: Suspects,
+    /// Data centres in which recently neither hosts nor targets could be reached.
+    pub cut_places: Suspects,
     /// Quarantine of requests that crash targets.
     pub poison_requests: PoisonRequests,
     /// Notified when an event has changed this host's state, such as targets, slices or hosts.
@@ -157,6 +159,7 @@
                 settings.bounds.retry_window,
             ),
             suspects: Suspects::default(),
+            cut_places: Suspects::default(),
             poison_requests: PoisonRequests::default(),
             state_changed: Notify::new(),
             feed_changed: Notify::new(),
