--- a/crates/routing/src/catalog.rs
+++ b/crates/routing/src/catalog.rs
@@ -93,11 +93,11 @@
             bulk.extend(used.map(|it| Arc::clone(&it.service)));
         }
         Ok(Self {
-            bulk,
             version,
             hosts,
             services,
             limits,
+            bulk,
         })
     }
 
