--- a/crates/router/src/gateway/forward/connection.rs
+++ b/crates/router/src/gateway/forward/connection.rs
@@ -232,7 +232,8 @@
             None => FetchError::Lost(err.into_error().into()),
         })?;
         let (parts, body) = answer.into_parts();
-        let body = limits.read(body).await.map_err(FetchError::Lost)?;
+        let body = limits.read_kept(body, limits.each()).await;
+        let body = body.map_err(FetchError::Lost)?;
         Ok(Response::from_parts(parts, body))
     }
 }
