Refuse long bodies before they cross the link between hosts

A gateway now decides whether a request with a long body can meet its objective when it has read the head; HTTP/2 flow control holds all but 16 KiB of the body back until then.

--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -205,6 +205,21 @@
         }
     }
 
+    /// Whether a request can be expected to be answered within its objective.
+    pub(super) fn check_room(&self, node: &Node, request: &GatewayRequest) -> Result<(), Reason> {
+        let mut inner = self.lock();
+        let now = self.clock.now();
+        inner.refresh(node, &self.pauses, &request.service, now);
+        if inner.members.is_empty() {
+            return Err(Reason::NoOwner);
+        }
+        if inner.meets_objective(now, request) {
+            Ok(())
+        } else {
+            Err(Reason::QueueFull)
+        }
+    }
+
     /// Records that the target refused a key of the slice that begins with `first`.
     pub(super) fn on_refused(&self, first: Key, key: Key) {
         let mut inner = self.lock();
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -73,6 +73,19 @@
     }
 }
 
+/// Decides whether a request can be expected to be answered within its objective, before its body is
+/// read.
+///
+/// Answers a burst of uploads, whose bodies fill the link between regions although their targets have
+/// no room for them.
+pub(super) fn check_room(node: &Node, request: &GatewayRequest) -> Result<(), Reason> {
+    match key_state(node, request) {
+        KeyState::NotOwned => return Err(Reason::NotGateway),
+        KeyState::Owned(_) | KeyState::Pending => {}
+    }
+    node.queues.get(&request.queue).check_room(node, request)
+}
+
 /// Waits for a slot of a target, then sends it the request.
 pub async fn run(node: &Arc<Node>, request: &GatewayRequest) -> AttemptOutcome {
     let queue = node.queues.get(&request.queue);
--- a/crates/router/src/gateway/serve.rs
+++ b/crates/router/src/gateway/serve.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response};
+use http_body::Body as _;
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http2, service::service_fn};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
@@ -14,6 +15,10 @@
 use super::{AttemptOutcome, GatewayRequest, exchange, hop};
 use crate::{accept::accept, entry::MAX_BODY_BYTES, node::Node, observe::LineKind};
 
+/// Bytes of a body that another host may send before this one reads it. Most bodies fit; the rest of a
+/// longer one does not use up the link between regions if the request is refused.
+const UNREAD_BODY_BYTES: u32 = 16 << 10;
+
 /// Binds the port; resolves to the loop that serves it.
 ///
 /// # Errors
@@ -38,6 +43,7 @@
         .timer(TokioTimer::new())
         .max_concurrent_streams(4_096)
         .max_header_list_size(MAX_HEADER_LIST_BYTES)
+        .initial_stream_window_size(UNREAD_BODY_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::spawn(async move {
         if let Err(err) = connection.await {
@@ -60,6 +66,10 @@
         // The entry host tries the next gateway.
         return hop::response_of(AttemptOutcome::not_sent(Reason::OwnerUnreachable));
     }
+    let is_long = body.size_hint().lower() > u64::from(UNREAD_BODY_BYTES);
+    if is_long && let Err(reason) = exchange::check_room(node, &request) {
+        return hop::response_of(AttemptOutcome::not_sent(reason));
+    }
     let queue = request.queue.clone();
     let outcome = match with_body(node, request, body).await {
         Ok(it) => exchange::run(node, &it).await,
