Shed load by priority, objective and work, and tell callers when to return

Callers of services with several kinds of load waited until their deadline and were refused then, late requests took the slots of requests that could still be in time, and all callers that were refused together returned together after 100 or 500 ms and were mostly refused again.

The queue knew neither the objective of a request nor the work of its route, estimated waits from the number of requests, and had a constant Retry-After for each reason.

Tickets now carry the objective and the route. A queue in the new order QueueOrder::Objective starts the more urgent first, then requests that can be in time before late ones, by slack or, if not all can be in time, by work. It refuses at once what cannot meet its deadline behind the work that runs and waits and the arrivals that go ahead, gives a starved route the next slot, and tells a refused caller the time of its place among those that return. The order applies to services that Catalog::goes_by_objective names; all other queues, and those of sassafrasd's other mode, are unchanged. The counters queue_refusals (reason, route, at once or after waiting) and late_starts (route) are new.

More requests are lost, because late ones are no longer served in an overload.

--- a/crates/admission/benches/model/figures.rs
+++ b/crates/admission/benches/model/figures.rs
@@ -2,7 +2,7 @@
 
 use admission::{RequestEnd, Ticket};
 
-use super::{Policy, Scenario};
+use super::{Policy, RouteFigures, Scenario};
 
 /// Statistics of one run.
 #[derive(Clone, Debug)]
@@ -20,6 +20,8 @@
     others: Counts,
     thirds: [Third; 3],
     refusal_waits_us: Vec<u64>,
+    /// Figures of each route of a burst scenario.
+    pub routes: Vec<RouteFigures>,
 }
 
 /// Started requests that ended in one third of the run.
@@ -69,17 +71,47 @@
             others: Counts::default(),
             thirds: Default::default(),
             refusal_waits_us: Vec::new(),
+            routes: match scenario.burst {
+                Some(burst) => vec![RouteFigures::default(); burst.routes.len()],
+                None => Vec::new(),
+            },
         }
     }
 
     pub(super) fn on_offer(&mut self, ticket: &Ticket) {
         self.offered += 1;
         self.key_counts(ticket).offered += 1;
+        if let Some(route) = self.route(ticket) {
+            route.offered += 1;
+        }
     }
 
-    pub(super) fn on_refusal(&mut self, waited_us: u64) {
+    /// Records a refusal; `is_last` if its caller does not return.
+    pub(super) fn on_refusal(&mut self, ticket: &Ticket, waited_us: u64, is_last: bool) {
         self.refused += 1;
         self.refusal_waits_us.push(waited_us);
+        if let Some(route) = self.route(ticket) {
+            route.on_refusal(waited_us, is_last);
+        }
+    }
+
+    /// Records the end of a started request of a route, with its latency from its arrival and from
+    /// when its caller sent it first.
+    pub(super) fn on_route_end(
+        &mut self,
+        ticket: &Ticket,
+        end: RequestEnd,
+        latencies_us: [u64; 2],
+        objective_us: u64,
+    ) {
+        if let Some(route) = self.route(ticket) {
+            route.on_end(end, latencies_us, objective_us);
+        }
+    }
+
+    fn route(&mut self, ticket: &Ticket) -> Option<&mut RouteFigures> {
+        let route = usize::try_from(ticket.route).ok()?;
+        self.routes.get_mut(route)
     }
 
     pub(super) fn on_end(
@@ -181,6 +213,6 @@
     clippy::cast_precision_loss,
     reason = "counts and times of a run are exact in f64"
 )]
-fn percent(part: u64, whole: u64) -> f64 {
+pub(super) fn percent(part: u64, whole: u64) -> f64 {
     part as f64 * 100.0 / whole.max(1) as f64
 }
--- a/crates/admission/benches/model/policy.rs
+++ b/crates/admission/benches/model/policy.rs
@@ -9,8 +9,6 @@
 
 use super::Scenario;
 
-/// Waiting requests of a target (`docs/design.md`, section 7.3).
-const DEPTH: usize = 16;
 /// Hosts of a deployment (`docs/design.md`, section 1.3).
 const HOSTS: usize = 10;
 /// Percent of the queue that one caller may fill.
@@ -32,8 +30,9 @@
 }
 
 /// All policies, in the order of the table.
-pub const POLICIES: [Policy; 7] = [
+pub const POLICIES: [Policy; 8] = [
     Policy::Gateway(QueueOrder::Adaptive),
+    Policy::Gateway(QueueOrder::Objective),
     Policy::Gateway(QueueOrder::Newest),
     Policy::Gateway(QueueOrder::Oldest),
     Policy::Escalating,
@@ -49,6 +48,7 @@
             Self::Gateway(QueueOrder::Adaptive) => "queue, adaptive",
             Self::Gateway(QueueOrder::Newest) => "queue, newest first",
             Self::Gateway(QueueOrder::Oldest) => "queue, oldest first",
+            Self::Gateway(QueueOrder::Objective) => "queue, by objective",
             Self::Unbounded => "unbounded FIFO",
             Self::Fixed => "fixed limit",
             Self::Escalating => "queue, rate limits",
@@ -61,8 +61,8 @@
         let slots = scenario.usual.slots;
         let limits = QueueLimits {
             slots,
-            depth: DEPTH,
-            caller_share: CALLER_SHARE_PERCENT,
+            depth: scenario.depth,
+            caller_share: scenario.caller_share(),
         };
         match self {
             Self::Gateway(order) => {
@@ -76,11 +76,11 @@
                 vec![PolicyQueue::Escalating(Box::new(queue), rate_limits)]
             }
             Self::Unbounded => vec![PolicyQueue::Fifo(Fifo::new(slots, usize::MAX))],
-            Self::Fixed => vec![PolicyQueue::Fifo(Fifo::new(slots, DEPTH))],
+            Self::Fixed => vec![PolicyQueue::Fifo(Fifo::new(slots, scenario.depth))],
             Self::TenHosts => {
                 let limits = QueueLimits {
                     slots: slots.div_ceil(HOSTS),
-                    depth: DEPTH.div_ceil(HOSTS),
+                    depth: scenario.depth.div_ceil(HOSTS),
                     caller_share: CALLER_SHARE_PERCENT,
                 };
                 let queue = || PolicyQueue::Queue(Box::new(Queue::new(limits)));
@@ -110,6 +110,21 @@
         }
     }
 
+    /// Milliseconds after which the caller of a refused request is told to return.
+    pub(super) fn return_ms(
+        &mut self,
+        now: Millis,
+        ticket: &Ticket,
+        caller_end: Millis,
+        reason: Reason,
+    ) -> Option<u64> {
+        let told = match self {
+            Self::Queue(queue) => queue.return_ms(now, ticket, caller_end),
+            Self::Escalating(..) | Self::Fifo(_) => None,
+        };
+        told.or(reason.retry_ms())
+    }
+
     pub(super) fn finish(
         &mut self,
         now: Millis,
--- a/crates/admission/benches/model/scenario.rs
+++ b/crates/admission/benches/model/scenario.rs
@@ -11,6 +11,41 @@
     pub extra_us: u64,
 }
 
+/// A route of a scenario.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteClass {
+    /// Its requests out of 100.
+    pub share: u64,
+    /// Priority; 0 is the highest.
+    pub priority: u8,
+    /// Mean service time in milliseconds; the sum of [`STAGES`] exponentially distributed parts.
+    pub work_ms: u64,
+    /// Time from arrival to the objective.
+    pub objective_ms: u64,
+}
+
+/// Parts of the service time of a [`RouteClass`]; the standard deviation is half of the mean.
+pub const STAGES: u64 = 4;
+
+/// A recurring burst of load, with the routes that share the target and one retry for each refused
+/// request after its `Retry-After`.
+#[derive(Clone, Copy, Debug)]
+pub struct Burst {
+    /// The routes; their shares add up to 100.
+    pub routes: &'static [RouteClass],
+    /// Offered load outside of the burst, in percent of the capacity; [`Scenario::load_percent`] is
+    /// that of the burst.
+    pub usual_percent: u64,
+    /// Length of a cycle, in the middle of which the burst is.
+    pub cycle_us: u64,
+    /// Length of the burst.
+    pub length_us: u64,
+    /// Number of cycles.
+    pub cycles: u64,
+    /// Time for which a caller waits in all.
+    pub caller_ms: u64,
+}
+
 /// A scenario. The target is in the `usual` phase, except during the middle third of the run.
 #[derive(Clone, Copy, Debug)]
 pub struct Scenario {
@@ -31,8 +66,15 @@
     /// Time after the start of each third during which the target is cold; it is also the time that
     /// is added to each service time meanwhile.
     pub cold_us: u64,
+    /// Requests that may wait.
+    pub depth: usize,
+    /// Routes and recurring bursts; `None` if the load is that of one route and constant.
+    pub burst: Option<Burst>,
 }
 
+/// Waiting requests of a target (`docs/design.md`, section 7.3).
+const DEPTH: usize = 16;
+
 /// Length of a run in mean service times, enough for about 30,000 answers.
 const RUN_SERVICE_TIMES: u64 = 15_000;
 
@@ -53,6 +95,8 @@
     usual: TARGET,
     middle: TARGET,
     cold_us: 0,
+    depth: DEPTH,
+    burst: None,
 };
 
 const fn steady(load_percent: u64) -> Scenario {
@@ -130,15 +174,88 @@
     },
 ];
 
+/// The trail map's routes that compete for its main service ([hard-load.md](docs/hard-load.md)).
+const ROUTES: [RouteClass; 2] = [
+    RouteClass {
+        share: 70,
+        priority: 0,
+        work_ms: 220,
+        objective_ms: 800,
+    },
+    RouteClass {
+        share: 30,
+        priority: 1,
+        work_ms: 290,
+        objective_ms: 1_000,
+    },
+];
+
+const fn burst(name: &'static str, slots: usize, routes: &'static [RouteClass]) -> Scenario {
+    let phase = Phase {
+        slots,
+        service_us: 241_000,
+        extra_us: 0,
+    };
+    Scenario {
+        name,
+        load_percent: 170,
+        deadline_ms: 2_000,
+        callers: &[1],
+        usual: phase,
+        middle: phase,
+        // 32 waiting requests for each slot, as at a gateway of the router.
+        depth: 32 * slots,
+        burst: Some(Burst {
+            routes,
+            usual_percent: 70,
+            cycle_us: 10_000_000,
+            length_us: 3_000_000,
+            cycles: 40,
+            caller_ms: 4_000,
+        }),
+        ..STEADY
+    }
+}
+
+/// Bursts of two routes that differ in priority, objective and work.
+pub const BURSTS: [Scenario; 4] = [
+    burst("burst, 4 slots", 4, &ROUTES),
+    burst("burst, 40 slots", 40, &ROUTES),
+    Scenario {
+        load_percent: 260,
+        ..burst("burst of 2.6, 40 slots", 40, &ROUTES)
+    },
+    Scenario {
+        middle: Phase {
+            slots: 40,
+            service_us: 723_000,
+            extra_us: 0,
+        },
+        ..burst("burst, slow third, 40 slots", 40, &ROUTES)
+    },
+];
+
 impl Scenario {
     /// Length of a run.
     pub fn length_us(&self) -> u64 {
+        if let Some(burst) = self.burst {
+            return burst.cycle_us * burst.cycles;
+        }
         RUN_SERVICE_TIMES * self.usual.service_us
     }
 
-    /// Mean time between arrivals.
-    pub fn gap_us(&self) -> u64 {
-        self.usual.service_us * 100 / (self.usual.slots as u64 * self.load_percent)
+    /// Mean time between arrivals at `now`.
+    pub fn gap_us(&self, now: u64) -> u64 {
+        let load_percent = match self.burst {
+            Some(burst) => burst.load_percent(now).unwrap_or(self.load_percent),
+            None => self.load_percent,
+        };
+        self.usual.service_us * 100 / (self.usual.slots as u64 * load_percent)
+    }
+
+    /// Percent of the queue that one caller may fill. The router does not distinguish callers.
+    pub fn caller_share(&self) -> u32 {
+        if self.burst.is_some() { 100 } else { 50 }
     }
 
     /// The target's phase at `now`.
@@ -184,3 +301,25 @@
         1 + spread % 64
     }
 }
+
+impl Burst {
+    /// Offered load at `now`; `None` in the burst.
+    fn load_percent(&self, now: u64) -> Option<u64> {
+        let begin = (self.cycle_us - self.length_us) / 2;
+        let at = now % self.cycle_us;
+        let is_burst = (begin..begin + self.length_us).contains(&at);
+        (!is_burst).then_some(self.usual_percent)
+    }
+
+    /// Selects the route of a request by a random number.
+    pub fn route(&self, random: u64) -> usize {
+        let mut rest = random % 100;
+        for (idx, route) in self.routes.iter().enumerate() {
+            if rest < route.share {
+                return idx;
+            }
+            rest -= route.share;
+        }
+        unreachable!("the shares add up to 100")
+    }
+}
--- a/crates/admission/benches/overload.rs
+++ b/crates/admission/benches/overload.rs
@@ -5,7 +5,7 @@
 
 mod model;
 
-use self::model::{POLICIES, SCENARIOS, run};
+use self::model::{BURSTS, POLICIES, SCENARIOS, run};
 
 /// Seed of the runs in the table.
 const SEED: u64 = 1;
@@ -15,7 +15,27 @@
 | shed | unfairness | other keys |
 |---|---|---|---|---|---|---|---|---|---|---|---|";
 
+const ROUTES_HEADER: &str = "\
+| scenario | policy | priority | in time | in time since first sent | late | cancelled | lost \
+| refused at once | refused after waiting | longest wait ms |
+|---|---|---|---|---|---|---|---|---|---|---|";
+
 fn main() {
+    println!("{ROUTES_HEADER}");
+    for scenario in &BURSTS {
+        for policy in POLICIES {
+            let figures = run(scenario, policy, SEED);
+            for (priority, route) in figures.routes.iter().enumerate() {
+                let name = scenario.name;
+                println!(
+                    "| {name} | {} | {priority} | {}",
+                    policy.name(),
+                    route.cells()
+                );
+            }
+        }
+    }
+    println!();
     println!("{TABLE_HEADER}");
     for scenario in &SCENARIOS {
         for policy in POLICIES {
--- a/crates/admission/src/queue.rs
+++ b/crates/admission/src/queue.rs
@@ -1,7 +1,17 @@
 //! The bounded, fair queue in front of one target.
 
+mod admit;
+mod arrivals;
+mod by_objective;
+mod candidate;
 mod concurrency;
+mod drain;
 mod pause;
+mod plan;
+mod returns;
+mod route_load;
+mod route_stats;
+mod routes;
 mod service_time;
 mod shares;
 mod ticket;
@@ -12,6 +22,9 @@
 use refusal::Reason;
 
 use self::concurrency::Concurrency;
+use self::returns::Returns;
+use self::route_load::RouteLoad;
+use self::routes::Routes;
 use self::service_time::ServiceTime;
 use self::shares::Shares;
 pub use self::ticket::{
@@ -31,23 +44,19 @@
 struct Running {
     key: u64,
     caller: u64,
+    route: u64,
     mode: RunMode,
     started: Millis,
     /// Estimated service time that was charged to the caller and the key at the start.
     charged_us: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-enum Admission {
-    Start,
-    Wait,
-}
-
 /// The admission queue of one target at its gateway.
 ///
 /// At most `slots` requests run, fewer while the target sheds load. A free slot goes to the
 /// highest priority, then to the caller and key that received the least service, then by
-/// [`QueueOrder`]. A request that cannot be expected to end before its deadline is refused: at once
+/// [`QueueOrder`]; in [`QueueOrder::Objective`], objectives and work decide in place of callers and
+/// keys. A request that cannot be expected to end before its deadline is refused: at once
 /// if the queue in front of it is too long, or later if it waited too long. While nothing runs, a
 /// request is started whatever the estimate is, since only an answer can correct the estimate.
 #[derive(Clone, Debug)]
@@ -59,6 +68,8 @@
     callers: Shares,
     keys: Shares,
     service: ServiceTime,
+    routes: Routes,
+    returns: Returns,
     concurrency: Concurrency,
     /// Decisions that the next method with [`Decisions`] as its result returns.
     pending: Decisions,
@@ -71,6 +82,8 @@
     answered: Option<u64>,
     /// Sequence number of the next offer.
     next_sequence: u64,
+    /// When waiting requests are next searched for hopeless ones.
+    next_review: Millis,
 }
 
 impl Queue {
@@ -85,6 +98,8 @@
             callers: Shares::default(),
             keys: Shares::default(),
             service: ServiceTime::default(),
+            routes: Routes::default(),
+            returns: Returns::default(),
             concurrency: Concurrency::new(limits.slots),
             pending: Decisions::new(),
             overloaded_until: 0,
@@ -92,6 +107,7 @@
             pause_room: None,
             answered: None,
             next_sequence: 0,
+            next_review: 0,
         }
     }
 
@@ -102,6 +118,11 @@
         self
     }
 
+    /// Changes the order in which waiting requests start.
+    pub fn set_order(&mut self, order: QueueOrder) {
+        self.order = order;
+    }
+
     /// Offers a request. If it has to wait, it can evict another waiting request, whose refusal the
     /// next call of [`expire`](Self::expire) returns; call it after each [`OfferResult::Wait`].
     pub fn offer(&mut self, now: Millis, ticket: Ticket) -> OfferResult {
@@ -127,11 +148,19 @@
         match end {
             RequestEnd::Answered => {
                 self.service.on_answer(took_ms);
+                if let Some(stats) = self.routes.get_mut(running.route) {
+                    stats.service.on_answer(took_ms);
+                }
                 self.concurrency.on_answer();
                 self.answered = self.answered.map(|it| it + 1);
             }
             RequestEnd::Shed => self.concurrency.on_shed(now, running.started),
-            RequestEnd::Failed | RequestEnd::Cancelled => self.service.on_censored(took_ms),
+            RequestEnd::Failed | RequestEnd::Cancelled => {
+                self.service.on_censored(took_ms);
+                if let Some(stats) = self.routes.get_mut(running.route) {
+                    stats.service.on_censored(took_ms);
+                }
+            }
         }
         let spent = (took_ms * 1_000).max(MIN_COST_US);
         self.callers
@@ -219,91 +248,12 @@
     /// waiting ones.
     #[must_use]
     pub fn estimated_wait_ms(&self, now: Millis) -> u64 {
-        self.estimated_wait_behind_ms(now, self.waiting.len())
-    }
-
-    fn admit(&mut self, now: Millis, ticket: Ticket, mode: RunMode) -> OfferResult {
-        let new = Waiter {
-            ticket,
-            mode,
-            sequence: self.next_sequence,
-            arrived: now,
-        };
-        self.next_sequence += 1;
-        self.callers.add_request(ticket.caller);
-        self.keys.add_request(ticket.key);
-        match self.check_admission(now, &new) {
-            Ok(Admission::Start) => {
-                self.start(now, &new);
-                OfferResult::Start
-            }
-            Ok(Admission::Wait) => {
-                self.waiting.push(new);
-                self.refuse_hopeless(now);
-                OfferResult::Wait
-            }
-            Err(reason) => {
-                self.on_overload(now);
-                self.remove_from_shares(ticket.caller, ticket.key);
-                OfferResult::Refuse(self.reason_in_pause(now, reason))
-            }
-        }
-    }
-
-    /// Decides about a new request, and evicts a waiting one if necessary; the error is the
-    /// refusal.
-    fn check_admission(&mut self, now: Millis, new: &Waiter) -> Result<Admission, Reason> {
-        if new.ticket.deadline <= now {
-            return Err(Reason::DeadlineBeforeStart);
-        }
-        let can_start = self.waiting.len() == 0 && self.may_start(now, new.mode);
-        let order = self.arrival_order(now);
-        let wait_ms = if can_start {
-            0
-        } else {
-            self.estimated_wait_behind_ms(now, self.waiting.count_ahead(new, order))
-        };
-        let is_watched = self.is_paused(now) || !self.running.is_empty();
-        if now + wait_ms > self.last_start(new) && is_watched {
-            return Err(Reason::DeadlineBeforeStart);
-        }
-        if can_start {
-            return Ok(Admission::Start);
-        }
-        let share = self.limits.depth * self.limits.caller_share as usize / 100;
-        if self.waiting.count_of_caller(new.ticket.caller) >= share.max(1) {
-            let victim = self.waiting.victim_of_caller(new, order);
-            if victim == new.ticket.id {
-                return Err(Reason::CallerShare);
-            }
-            self.on_overload(now);
-            self.evict(victim, self.reason_in_pause(now, Reason::CallerShare));
-        }
-        if self.waiting.len() >= self.limits.depth {
-            match self.victim(Some(new), order) {
-                Some(victim) if victim != new.ticket.id => {
-                    self.on_overload(now);
-                    self.evict(victim, self.reason_in_pause(now, Reason::QueueFull));
-                }
-                _ => return Err(Reason::QueueFull),
-            }
-        }
-        Ok(Admission::Wait)
-    }
-
-    /// The request to evict from a full queue. Among those of the lowest priority, requests of
-    /// callers and keys with many requests are evicted first.
-    fn victim(&self, new: Option<&Waiter>, order: ArrivalOrder) -> Option<u64> {
-        self.waiting.victim(new, order, |it| {
-            self.callers.active(it.caller) + self.keys.active(it.key)
-        })
-    }
-
-    fn evict(&mut self, id: u64, reason: Reason) {
-        if let Some(waiter) = self.waiting.remove(id) {
-            self.remove_from_shares(waiter.ticket.caller, waiter.ticket.key);
-            self.pending.push(Decision::Refuse(id, reason));
+        if self.order == QueueOrder::Objective {
+            let ahead_us = self.waiting.iter().map(|it| self.work_us(it.ticket.route));
+            let wait_us = self.drain(now).wait_us(ahead_us.sum(), 0);
+            return wait_us.unwrap_or_default() / 1_000;
         }
+        self.estimated_wait_behind_ms(now, self.waiting.len())
     }
 
     /// Makes every decision that is possible at `now`.
@@ -331,6 +281,9 @@
             self.waiting.remove(waiter.ticket.id);
             self.refuse_late(now, &waiter, &mut decisions);
         }
+        if self.order == QueueOrder::Objective {
+            self.review(now, &mut decisions);
+        }
         decisions
     }
 
@@ -343,14 +296,22 @@
 
     fn start(&mut self, now: Millis, waiter: &Waiter) {
         let Ticket {
-            id, key, caller, ..
+            id,
+            key,
+            caller,
+            route,
+            ..
         } = waiter.ticket;
+        if let Some(stats) = self.routes.get_mut(route) {
+            stats.on_start();
+        }
         let charged_us = self.service.mean_us().max(MIN_COST_US);
         self.callers.charge(caller, charged_us);
         self.keys.charge(key, charged_us);
         let running = Running {
             key,
             caller,
+            route,
             mode: waiter.mode,
             started: now,
             charged_us,
@@ -366,6 +327,9 @@
 
     /// The waiting request that is started next.
     fn next_to_start(&self, now: Millis) -> Option<Waiter> {
+        if self.order == QueueOrder::Objective {
+            return self.next_by_objective(now);
+        }
         let order = self.arrival_order(now);
         let rank = |it: &&Waiter| {
             let excess_us =
@@ -388,7 +352,11 @@
 
     /// The latest time at which a request can be started and is expected to meet its deadline.
     fn last_start(&self, waiter: &Waiter) -> Millis {
-        let needed = self.service.needed_ms(waiter.budget_ms());
+        let service = match self.order {
+            QueueOrder::Objective => self.routes.service(waiter.ticket.route, &self.service),
+            _ => &self.service,
+        };
+        let needed = service.needed_ms(waiter.budget_ms());
         waiter.ticket.deadline.saturating_sub(needed)
     }
 
@@ -409,7 +377,9 @@
             QueueOrder::Adaptive if now < self.overloaded_until && !self.is_paused(now) => {
                 ArrivalOrder::NewestFirst
             }
-            QueueOrder::Oldest | QueueOrder::Adaptive => ArrivalOrder::OldestFirst,
+            QueueOrder::Oldest | QueueOrder::Adaptive | QueueOrder::Objective => {
+                ArrivalOrder::OldestFirst
+            }
         }
     }
 }
--- a/crates/admission/src/queue/pause/tests.rs
+++ b/crates/admission/src/queue/pause/tests.rs
@@ -15,6 +15,8 @@
         key: id,
         caller: 0,
         priority: 1,
+        route: 0,
+        objective: deadline,
         deadline,
     }
 }
--- a/crates/admission/src/queue/service_time.rs
+++ b/crates/admission/src/queue/service_time.rs
@@ -44,21 +44,38 @@
         }
     }
 
+    pub(super) fn has_samples(&self) -> bool {
+        self.has_samples
+    }
+
     pub(super) fn mean_us(&self) -> u64 {
         self.mean_us
     }
 
+    pub(super) fn deviation_us(&self) -> u64 {
+        self.deviation_us
+    }
+
     /// High estimate of the service time, about its 99th percentile.
     pub(super) fn high_estimate_ms(&self) -> u64 {
-        (self.mean_us + DEVIATIONS * self.deviation_us).div_ceil(1_000)
+        self.estimate_ms(DEVIATIONS)
     }
 
     /// Time that must be left at the start of a request whose whole budget is `budget_ms`. If the
     /// budget is too short for the high estimate, [`MAX_SERVICE_PERCENT`] of it is enough (or the
     /// mean, if that is longer), since otherwise all such requests would be refused.
     pub(super) fn needed_ms(&self, budget_ms: u64) -> u64 {
+        self.needed_with_ms(budget_ms, DEVIATIONS)
+    }
+
+    /// Like [`needed_ms`](Self::needed_ms), with another number of mean deviations.
+    pub(super) fn needed_with_ms(&self, budget_ms: u64, deviations: u64) -> u64 {
         let mean_ms = self.mean_us.div_ceil(1_000);
         let max_ms = budget_ms.saturating_mul(MAX_SERVICE_PERCENT) / 100;
-        self.high_estimate_ms().min(mean_ms.max(max_ms))
+        self.estimate_ms(deviations).min(mean_ms.max(max_ms))
+    }
+
+    fn estimate_ms(&self, deviations: u64) -> u64 {
+        (self.mean_us + deviations * self.deviation_us).div_ceil(1_000)
     }
 }
--- a/crates/admission/src/queue/tests.rs
+++ b/crates/admission/src/queue/tests.rs
@@ -16,6 +16,8 @@
         key: id,
         caller: id,
         priority: 1,
+        route: 0,
+        objective: 1_000,
         deadline: 1_000,
     }
 }
--- a/crates/admission/src/queue/tests/model.rs
+++ b/crates/admission/src/queue/tests/model.rs
@@ -83,6 +83,8 @@
                     key,
                     caller,
                     priority,
+                    route: key,
+                    objective: now + budget_ms / 2,
                     deadline: now + budget_ms,
                 };
                 let offer = match mode {
@@ -190,24 +192,26 @@
     /// answered twice, and refusals of requests that were started.
     #[test]
     fn every_request_has_one_outcome(ops in prop::collection::vec((0..30_u64, op()), 1..120)) {
-        let mut model = Model {
-            queue: Queue::new(LIMITS),
-            slots: LIMITS.slots,
-            stages: BTreeMap::new(),
-        };
-        let mut now = 0;
-        for (step, op) in &ops {
-            now += step;
-            model.apply(now, op);
-        }
-        // With enough time and slots, no request waits forever.
-        model.apply(now, &Op::Limits { slots: 2, depth: 6 });
-        for _ in 0..200 {
-            now += 1_000;
-            model.apply(now, &Op::Expire);
-            model.apply(now, &Op::Finish { nth: 0, end: RequestEnd::Answered });
+        for order in [QueueOrder::Adaptive, QueueOrder::Objective] {
+            let mut model = Model {
+                queue: Queue::new(LIMITS).with_order(order),
+                slots: LIMITS.slots,
+                stages: BTreeMap::new(),
+            };
+            let mut now = 0;
+            for (step, op) in &ops {
+                now += step;
+                model.apply(now, op);
+            }
+            // With enough time and slots, no request waits forever.
+            model.apply(now, &Op::Limits { slots: 2, depth: 6 });
+            for _ in 0..200 {
+                now += 1_000;
+                model.apply(now, &Op::Expire);
+                model.apply(now, &Op::Finish { nth: 0, end: RequestEnd::Answered });
+            }
+            prop_assert_eq!(model.queue.waiting() + model.queue.running(), 0);
+            prop_assert_eq!(model.queue.callers.active(0), 0);
         }
-        prop_assert_eq!(model.queue.waiting() + model.queue.running(), 0);
-        prop_assert_eq!(model.queue.callers.active(0), 0);
     }
 }
--- a/crates/admission/src/queue/ticket.rs
+++ b/crates/admission/src/queue/ticket.rs
@@ -28,6 +28,11 @@
     pub caller: u64,
     /// Priority; 0 is the highest.
     pub priority: u8,
+    /// Hash of the request's route. Each route has its own estimate of the work of a request.
+    pub route: u64,
+    /// Until when the request counts as answered in time; it matters to
+    /// [`QueueOrder::Objective`] only.
+    pub objective: Millis,
     /// When the request must have been answered.
     pub deadline: Millis,
 }
@@ -68,7 +73,10 @@
 /// Decisions about waiting requests, in the order in which they were made.
 pub type Decisions = SmallVec<[Decision; 4]>;
 
-/// Which of a caller's waiting requests starts first.
+/// Which waiting requests start first.
+///
+/// In all orders but [`Objective`](Self::Objective), callers and keys share the slots, and the order
+/// is that of one caller's requests for one key.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum QueueOrder {
     /// The request that has waited longest.
@@ -78,4 +86,7 @@
     /// Oldest first, but newest first while the queue is overloaded.
     #[default]
     Adaptive,
+    /// By objective and expected work, whatever the caller and the key: what is delayed or refused
+    /// costs callers least.
+    Objective,
 }
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -11,7 +11,7 @@
 use admission::QueueOrder;
 use serde::Deserialize;
 
-use self::model::{Figures, POLICIES, Policy, SCENARIOS, Scenario, run};
+use self::model::{BURSTS, Figures, POLICIES, Policy, RouteFigures, SCENARIOS, Scenario, run};
 
 /// Seeds of the runs. Four runs take about 20 s in a debug build.
 const SEEDS: RangeInclusive<u64> = 1..=4;
@@ -80,6 +80,45 @@
     }
 }
 
+/// Guards against a burst of two routes in which late requests take the slots of those that could
+/// be in time, requests are held for long and then refused, or the less urgent route is served
+/// better. The baseline is the order of queues whose configuration states no uneven load.
+#[test]
+fn bursts_are_shed_by_objective() {
+    for scenario in &BURSTS[..3] {
+        let former = run(scenario, Policy::Gateway(QueueOrder::Adaptive), 1);
+        let now = run(scenario, Policy::Gateway(QueueOrder::Objective), 1);
+        let cells = |it: &Figures| {
+            let routes = it.routes.iter();
+            routes.map(RouteFigures::cells).collect::<Vec<_>>()
+        };
+        let text = format!("{}: {:?}, {:?}", scenario.name, cells(&former), cells(&now));
+        let in_time = |it: &Figures| it.routes.iter().map(|it| it.in_time).sum::<u64>();
+        let in_time_first = |it: &Figures| it.routes.iter().map(|it| it.in_time_first).sum::<u64>();
+        assert!(in_time(&now) > in_time(&former), "{text}");
+        assert!(in_time_first(&now) > in_time_first(&former), "{text}");
+        let [urgent, other] = &now.routes[..] else {
+            panic!("the scenario has two routes");
+        };
+        assert!(
+            urgent.in_time_percent() >= other.in_time_percent(),
+            "{text}"
+        );
+        assert!(
+            urgent.answered_percent() >= other.answered_percent(),
+            "{text}"
+        );
+        // The more urgent route is refused at once or served. What it displaces is told soon: a
+        // request that waits for half of its objective cannot be in time behind it.
+        assert!(urgent.refused_held * 200 <= urgent.offered, "{text}");
+        for (before, after) in former.routes.iter().zip(&now.routes) {
+            assert!(after.refused_held * 4 <= before.refused_held, "{text}");
+            assert!(after.longest_held_us < 800_000, "{text}");
+        }
+        assert!(other.longest_held_us < 500_000, "{text}");
+    }
+}
+
 /// Guards against bounds that are so loose that every policy meets them.
 #[test]
 fn baselines_miss_the_bounds() {
--- a/crates/router/src/gateway.rs
+++ b/crates/router/src/gateway.rs
@@ -19,7 +19,7 @@
 mod serve;
 mod standing;
 
-pub use admission_queue::QueueLoad;
+pub use admission_queue::{QueueLoad, Rejection};
 pub use admission_queues::AdmissionQueues;
 pub use exchange::{AttemptOutcome, LeavingTarget, run};
 pub use forward::Forwarder;
--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -1,6 +1,8 @@
 //! The admission queue of one target, or of a pool of interchangeable targets.
 
 mod pause;
+mod rejection;
+mod shedding;
 mod slot_guard;
 
 use std::{
@@ -9,12 +11,13 @@
     time::Duration,
 };
 
-use admission::{Decision, Decisions, OfferResult, Queue, QueueLimits, RequestEnd, Ticket};
+use admission::{Decision, Decisions, OfferResult, Queue, QueueLimits, RequestEnd};
 use coordinator::{Key, Millis};
 use process::BootClock;
 use refusal::Reason;
 use tokio::sync::oneshot;
 
+pub use self::rejection::Rejection;
 pub(super) use self::slot_guard::SlotGuard;
 use super::{GatewayRequest, QueueId, WaitLimit, member::Member, pauses::Pauses};
 use crate::{
@@ -49,6 +52,8 @@
 struct Inner {
     id: QueueId,
     queue: Queue,
+    /// Whether `queue` goes by objective.
+    by_objective: bool,
     /// Waiting requests by id, with the channel for the decision about each.
     waiting: HashMap<u64, oneshot::Sender<Decision>>,
     next_id: u64,
@@ -97,6 +102,7 @@
             inner: Mutex::new(Inner {
                 id,
                 queue: Queue::new(limits),
+                by_objective: false,
                 waiting: HashMap::new(),
                 next_id: 0,
                 version: None,
@@ -116,7 +122,7 @@
         self: &Arc<Self>,
         node: &Node,
         request: &GatewayRequest,
-    ) -> Result<SlotGuard, Reason> {
+    ) -> Result<SlotGuard, Rejection> {
         let (id, decided) = {
             let mut inner = self.lock();
             let now = self.clock.now();
@@ -125,29 +131,25 @@
             }
             inner.refresh(node, &self.pauses, &request.service, now);
             if inner.members.is_empty() {
-                return Err(Reason::NoOwner);
+                return Err(Rejection::at_once(Reason::NoOwner));
             }
             if !inner.members.iter().any(|it| it.admits(now)) {
-                return Err(Reason::TargetDraining);
+                return Err(Rejection::at_once(Reason::TargetDraining));
             }
             if inner.paused_until.is_some() && matches!(inner.id, QueueId::Pool { .. }) {
-                return Err(Reason::TargetPaused);
+                return Err(Rejection::at_once(Reason::TargetPaused));
             }
             if request.wait_limit == WaitLimit::Objective && !inner.meets_objective(now, request) {
-                return Err(Reason::QueueFull);
+                return Err(Rejection::at_once(Reason::QueueFull));
             }
             let id = inner.next_id;
             inner.next_id += 1;
-            let ticket = Ticket {
-                id,
-                key: request.key.map_or(0, u64::from),
-                caller: 0,
-                priority: request.priority,
-                deadline: request.end,
-            };
-            match inner.queue.offer(now, ticket) {
-                OfferResult::Start => return self.start(&mut inner, id, request),
-                OfferResult::Refuse(reason) => return Err(reason),
+            match inner.queue.offer(now, request.ticket(id)) {
+                OfferResult::Start => {
+                    let started = self.start(&mut inner, id, request);
+                    return started.map_err(Rejection::at_once);
+                }
+                OfferResult::Refuse(reason) => return Err(Rejection::at_once(reason)),
                 OfferResult::Wait => {}
             }
             let (sender, decided) = oneshot::channel();
@@ -167,6 +169,7 @@
             Decision::Start(_) => self.start(&mut self.lock(), id, request),
             Decision::Refuse(_, reason) => Err(reason),
         }
+        .map_err(Rejection::after_wait)
     }
 
     /// Records that the target refused a key of the slice that begins with `first`.
@@ -296,6 +299,7 @@
     fn refresh(&mut self, node: &Node, pauses: &Mutex<Pauses>, service: &str, now: Millis) {
         let targets = node.targets();
         let evacuations = node.evacuations();
+        self.update_order(node, service);
         let version = (targets.version(), evacuations.version());
         if self.version != Some(version) {
             self.version = Some(version);
@@ -354,6 +358,11 @@
 
     /// Whether the request can be expected to be answered within its objective.
     fn meets_objective(&self, now: Millis, request: &GatewayRequest) -> bool {
+        if self.by_objective {
+            return self
+                .queue
+                .meets_objective(now, request.ticket(self.next_id));
+        }
         now + self.queue.estimated_wait_ms(now) + self.mean_ms() <= request.objective
     }
 
--- a/crates/router/src/gateway/exchange.rs
+++ b/crates/router/src/gateway/exchange.rs
@@ -14,7 +14,7 @@
 use refusal::Reason;
 
 use super::{
-    GatewayRequest, QueueId,
+    GatewayRequest, QueueId, WaitLimit,
     admission_queue::{AdmissionQueue, SlotGuard},
     confirm::confirm,
     poison,
@@ -47,7 +47,7 @@
         reason: Reason,
         /// Whether it was sent to a target.
         offered: bool,
-        /// For [`Reason::TargetPaused`], milliseconds after which it can be served.
+        /// For refusals of an admission queue, milliseconds after which it can be served.
         retry_ms: Option<Millis>,
     },
     /// The request may have run.
@@ -92,12 +92,13 @@
     let entered = node.clock.now();
     let slot = match queue.acquire_slot(node, request).await {
         Ok(slot) => slot,
-        Err(reason) => {
-            observe::queue_rejected(node, request, reason, queue.load());
+        Err(rejection) => {
+            observe::queue_rejected(node, request, rejection, queue.load());
+            let reason = rejection.reason;
             return Some(AttemptOutcome::NotRun {
                 reason,
                 offered: false,
-                retry_ms: return_ms(queue, reason),
+                retry_ms: return_ms(queue, request, reason),
             });
         }
     };
@@ -152,16 +153,30 @@
         if slot.on_pause(pause_ms) {
             observe::pause_started(node, request, &slot.incarnation, pause_ms);
         }
-        *retry_ms = return_ms(queue, *reason);
+        *retry_ms = return_ms(queue, request, *reason);
+    }
+    if let AttemptOutcome::NotRun {
+        reason: reason @ Reason::TargetShed,
+        retry_ms,
+        ..
+    } = &mut outcome
+    {
+        *retry_ms = return_ms(queue, request, *reason);
     }
     slot.end(end, health);
     Some(outcome)
 }
 
-/// When a caller whose request was refused for `reason` should return.
-fn return_ms(queue: &AdmissionQueue, reason: Reason) -> Option<Millis> {
+/// When a caller whose request was refused for `reason` should return. A request that is tried at
+/// another queue takes no place among the callers that return to this one.
+fn return_ms(queue: &AdmissionQueue, request: &GatewayRequest, reason: Reason) -> Option<Millis> {
     match reason {
         Reason::TargetPaused => queue.return_ms(),
+        Reason::DeadlineBeforeStart | Reason::QueueFull | Reason::TargetShed
+            if request.wait_limit == WaitLimit::Deadline =>
+        {
+            queue.slot_return_ms(request)
+        }
         _ => None,
     }
 }
--- a/crates/router/src/gateway/exchange/tests.rs
+++ b/crates/router/src/gateway/exchange/tests.rs
@@ -8,6 +8,8 @@
         key: 0,
         caller: 0,
         priority: 0,
+        route: 0,
+        objective: 60_000,
         deadline: 60_000,
     }
 }
--- a/crates/router/src/observe/attempt.rs
+++ b/crates/router/src/observe/attempt.rs
@@ -6,7 +6,7 @@
 
 use super::{LineKind, id_of, key_of};
 use crate::{
-    gateway::{AttemptOutcome, GatewayRequest, QueueLoad},
+    gateway::{AttemptOutcome, GatewayRequest, QueueLoad, Rejection},
     node::Node,
 };
 
@@ -30,6 +30,10 @@
 pub fn attempt(node: &Node, it: &Attempt<'_>) {
     let request = it.request;
     node.metrics.attempt(request, it.waited_ms, it.took_ms);
+    let began = node.clock.now().saturating_sub(it.took_ms);
+    if began > request.objective {
+        node.metrics.late_start(request);
+    }
     let (reason, status) = match it.outcome {
         AttemptOutcome::Answered(answer) if answer.status().is_success() => return,
         AttemptOutcome::Answered(answer) => ("", answer.status().as_u16()),
@@ -115,14 +119,20 @@
 }
 
 /// Records that an admission queue rejected a request.
-pub fn queue_rejected(node: &Node, request: &GatewayRequest, reason: Reason, load: QueueLoad) {
+pub fn queue_rejected(
+    node: &Node,
+    request: &GatewayRequest,
+    rejection: Rejection,
+    load: QueueLoad,
+) {
+    node.metrics.queue_refusal(request, rejection);
     let Some(left_out) = node.may_log(LineKind::Attempt) else {
         return;
     };
     log::warn!(
         target: "attempt",
         request = id_of(node, request),
-        reason = reason.label(),
+        reason = rejection.reason.label(),
         gate = request.queue.to_string(),
         key = key_of(request),
         priority = request.priority,
--- a/crates/router/src/observe/metrics.rs
+++ b/crates/router/src/observe/metrics.rs
@@ -8,7 +8,7 @@
 use refusal::Reason;
 
 use super::LineKind;
-use crate::gateway::GatewayRequest;
+use crate::gateway::{GatewayRequest, Rejection};
 
 /// Histogram bucket boundaries in milliseconds: from the fastest targets to the longest deadlines
 /// of both users' deployments.
@@ -43,6 +43,8 @@
     exporter: Exporter,
     requests: Counter<u64>,
     refusals: Counter<u64>,
+    queue_refusals: Counter<u64>,
+    late_starts: Counter<u64>,
     retries: Counter<u64>,
     configurations: Counter<u64>,
     store_calls: Counter<u64>,
@@ -76,6 +78,8 @@
         Self {
             requests: counter("requests"),
             refusals: counter("refusals"),
+            queue_refusals: counter("queue_refusals"),
+            late_starts: counter("late_starts"),
             retries: counter("retries"),
             configurations: counter("configurations_received"),
             store_calls: counter("store_calls"),
@@ -115,6 +119,27 @@
         self.refusals.add(1, &labels);
     }
 
+    /// Counts a refusal by an admission queue, by reason, route and whether the request waited.
+    pub fn queue_refusal(&self, request: &GatewayRequest, rejection: Rejection) {
+        let when = if rejection.waited {
+            "waited"
+        } else {
+            "at_once"
+        };
+        let labels = [
+            KeyValue::new("reason", rejection.reason.label()),
+            KeyValue::new("route", request.route.clone()),
+            KeyValue::new("when", when),
+        ];
+        self.queue_refusals.add(1, &labels);
+    }
+
+    /// Counts a request that was started after its objective had ended.
+    pub fn late_start(&self, request: &GatewayRequest) {
+        let labels = [KeyValue::new("route", request.route.clone())];
+        self.late_starts.add(1, &labels);
+    }
+
     /// Counts a retry, by the reason why the previous attempt failed.
     pub fn retry(&self, reason: Reason) {
         let labels = [KeyValue::new("reason", reason.label())];
--- a/crates/routing/src/catalog.rs
+++ b/crates/routing/src/catalog.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CatalogError, Regions, Route, Service, Share, Volume};
+use crate::{CatalogError, Regions, Route, Service, Share, Volume, shedding};
 
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -48,6 +48,8 @@
     limits: Limits,
     /// Services that have a route with large bodies.
     bulk: BTreeSet<Arc<str>>,
+    /// Services whose queues go by objective.
+    by_objective: BTreeSet<Arc<str>>,
 }
 
 impl Catalog {
@@ -92,12 +94,14 @@
             let used = route.shares.iter().filter(|it| it.weight > 0);
             bulk.extend(used.map(|it| Arc::clone(&it.service)));
         }
+        let by_objective = shedding::services_by_objective(&hosts, &services, &bulk);
         Ok(Self {
-            bulk,
             version,
             hosts,
             services,
             limits,
+            bulk,
+            by_objective,
         })
     }
 
@@ -165,6 +169,16 @@
         self.bulk.contains(service)
     }
 
+    /// Whether the queues of a service go by the objectives of its routes. This is so in a
+    /// configuration that states large bodies or a limit for cold targets anywhere, for a service
+    /// with a route whose objective is shorter than its timeout, if at least one of these holds: it
+    /// has a route with large bodies, it has a limit for cold targets, or its routes differ in
+    /// priority or objective. All other services are served as before there was this order.
+    #[must_use]
+    pub fn goes_by_objective(&self, service: &str) -> bool {
+        self.by_objective.contains(service)
+    }
+
     /// Returns all routes of all hosts.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 mod route;
 mod service;
 mod share;
+mod shedding;
 
 pub use catalog::{Catalog, CatalogParts, HostRoutes, Limits};
 pub use catalog_change::CatalogChange;
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -3,8 +3,8 @@
 use smallvec::smallvec;
 
 use crate::{
-    Catalog, CatalogChange, CatalogError, CatalogParts, Limits, Ownership, Picker, Regions, Repeat,
-    Route, Service, Share, Volume,
+    Catalog, CatalogChange, CatalogError, CatalogParts, ColdLimit, Limits, Ownership, Picker,
+    Regions, Repeat, Route, Service, Share, Volume,
 };
 
 fn route(prefix: &str, service: &str) -> Route {
@@ -249,3 +249,70 @@
         assert_eq!(regions, case.regions, "{}", case.name);
     }
 }
+
+/// Guards against a deployment whose requests are ordered differently although its configuration
+/// states no uneven load, and against one that states it and is served in the former order.
+#[test]
+fn queues_go_by_objective_where_the_load_is_uneven() {
+    struct Case {
+        name: &'static str,
+        routes: Vec<Route>,
+        cold: bool,
+        expected: bool,
+    }
+    let plain = || route("/a/", "archive");
+    let bulk = || Route {
+        volume: Volume::Large,
+        ..route("/b/", "archive")
+    };
+    let urgent = || Route {
+        priority: 1,
+        ..route("/c/", "archive")
+    };
+    let no_slack = || Route {
+        objective_ms: 1_000,
+        ..plain()
+    };
+    let elsewhere = || Route {
+        volume: Volume::Large,
+        ..route("/d/", "other")
+    };
+    let case = |name, routes, cold, expected| Case {
+        name,
+        routes,
+        cold,
+        expected,
+    };
+    let cases = [
+        case("one kind of load", vec![plain()], false, false),
+        case("priorities only", vec![plain(), urgent()], false, false),
+        case("large bodies", vec![bulk()], false, true),
+        case("cold targets", vec![plain()], true, true),
+        case("cold, no slack", vec![no_slack()], true, false),
+        case(
+            "bulk elsewhere, one kind",
+            vec![plain(), elsewhere()],
+            false,
+            false,
+        ),
+        case(
+            "bulk elsewhere, priorities",
+            vec![plain(), urgent(), elsewhere()],
+            false,
+            true,
+        ),
+    ];
+    for case in cases {
+        let mut parts = parts(case.routes);
+        let mut other = parts.services[0].clone();
+        other.name = "other".into();
+        parts.services.push(other);
+        parts.services[0].cold = case.cold.then_some(ColdLimit {
+            warmup_ms: 5_000,
+            interval_ms: 200,
+        });
+        let catalog = Catalog::new(parts).expect("the parts are valid");
+        let actual = catalog.goes_by_objective("archive");
+        assert_eq!(actual, case.expected, "{}", case.name);
+    }
+}
--- a/crates/sassafrasd/src/dispatch.rs
+++ b/crates/sassafrasd/src/dispatch.rs
@@ -152,6 +152,8 @@
         key: inbound.hash,
         caller: inbound.caller,
         priority: inbound.service().priority,
+        route: 0,
+        objective: inbound.deadline,
         deadline: inbound.deadline,
     };
     let suspect = host.with_quarantine(&target.id.service, |it| {
