--- a/crates/router/src/gateway/hop/tests.rs
+++ b/crates/router/src/gateway/hop/tests.rs
@@ -111,3 +111,33 @@
     assert_eq!(received.arrived, 89_700);
     assert_eq!(received.objective, 90_700);
 }
+
+/// Guards against a refusal of a queue whose caller is told the constant of the reason, so that all
+/// callers that were refused in a burst return together.
+#[test]
+fn refusals_of_queues_tell_when_to_return() {
+    for reason in [
+        Reason::DeadlineBeforeStart,
+        Reason::QueueFull,
+        Reason::TargetShed,
+    ] {
+        for expected in [None, Some(1_330)] {
+            let refused = AttemptOutcome::NotRun {
+                reason,
+                offered: reason == Reason::TargetShed,
+                retry_ms: expected,
+            };
+            let (parts, _) = response_of(refused).into_parts();
+            let outcome = outcome_of(Response::from_parts(parts, Bytes::new()));
+            let AttemptOutcome::NotRun {
+                reason: found,
+                retry_ms,
+                ..
+            } = outcome
+            else {
+                panic!("{outcome:?}");
+            };
+            assert_eq!((found, retry_ms), (reason, expected));
+        }
+    }
+}
