Forecast a queue in time proportional to its length

A review of the waiting requests of a queue with the new order took time proportional to the square of their number, and to the number of slots for each: it walked all slots for each request, and summed the requests in time behind each that was not. Both are now prefix sums with a bisection.

--- a/crates/admission/src/queue/drain.rs
+++ b/crates/admission/src/queue/drain.rs
@@ -7,6 +7,8 @@
     pause_us: u64,
     /// Expected time until each slot is free, shortest first.
     free_us: Vec<u64>,
+    /// Sum of the first entries of `free_us`, by their number.
+    sums: Vec<u64>,
 }
 
 impl Drain {
@@ -19,8 +21,13 @@
         // Requests above the limit free no slot when they end.
         let excess = left_us.len() - slots;
         left_us.drain(..excess);
+        let partial = left_us.iter().scan(0, |sum, it| {
+            *sum += it;
+            Some(*sum)
+        });
         Self {
             pause_us,
+            sums: std::iter::once(0).chain(partial).collect(),
             free_us: left_us,
         }
     }
@@ -37,21 +44,32 @@
     pub(super) fn wait_us(&self, ahead_us: u64, arriving: u64) -> Option<u64> {
         // Nothing waits ahead, so the next slot is its own.
         let arriving = if ahead_us == 0 { 0 } else { arriving };
-        let mut busy_us = 0;
-        let mut active = 0_u64;
-        for (idx, free_us) in self.free_us.iter().enumerate() {
-            busy_us += free_us;
-            active += 1_000;
-            let rate = match active.checked_sub(arriving) {
-                None | Some(0) => continue,
-                Some(rate) => rate,
-            };
-            let level_us = ((ahead_us + busy_us) * 1_000 / rate).max(*free_us);
-            if self.free_us.get(idx + 1).is_none_or(|it| level_us <= *it) {
-                return Some(self.pause_us + level_us);
+        // The number of slots that contribute before it starts is found by bisection, because the
+        // wait of each waiting request is computed and there may be hundreds of both.
+        let left_behind = |idx: usize| {
+            let at_us = self.free_us[idx];
+            let done_us = idx as u64 * at_us - self.sums[idx];
+            done_us < ahead_us + arriving * at_us / 1_000
+        };
+        let later = self.slots_before(left_behind);
+        let active = later as u64 * 1_000;
+        let rate = active.checked_sub(arriving).filter(|it| *it > 0)?;
+        let level_us = (ahead_us + self.sums[later]) * 1_000 / rate;
+        Some(self.pause_us + level_us.max(self.free_us[later - 1]))
+    }
+
+    /// Number of slots that are free before `still_waits` ends to hold for the next one.
+    fn slots_before(&self, still_waits: impl Fn(usize) -> bool) -> usize {
+        let (mut low, mut high) = (1, self.free_us.len());
+        while low < high {
+            let middle = low.midpoint(high);
+            if still_waits(middle) {
+                low = middle + 1;
+            } else {
+                high = middle;
             }
         }
-        None
+        low
     }
 }
 
--- a/crates/admission/src/queue/plan.rs
+++ b/crates/admission/src/queue/plan.rs
@@ -81,12 +81,20 @@
         let mut hopeless = Vec::new();
         let mut ahead_us = 0;
         let mut spared: SmallVec<[u64; 4]> = SmallVec::new();
-        for (idx, it) in self.candidates.iter().enumerate() {
+        // Work of the requests of this priority that can be in time and were not looked at yet.
+        let mut in_time = (None, 0);
+        for it in &self.candidates {
+            if in_time.0 != Some(it.priority) {
+                in_time = (Some(it.priority), self.in_time_us(it.priority));
+            }
+            if !it.is_late(self.now) {
+                in_time.1 -= it.work_us;
+            }
             if it.starved && !spared.contains(&it.route) && self.now <= it.last_start {
                 spared.push(it.route);
                 continue;
             }
-            if self.starts_in_time(it, ahead_us) || self.starts_late(it, idx, ahead_us) {
+            if self.starts_in_time(it, ahead_us) || self.starts_late(it, ahead_us + in_time.1) {
                 ahead_us += it.work_us;
                 continue;
             }
@@ -106,17 +114,21 @@
     }
 
     /// Whether the request starts before its deadline, although after all that can be in time.
-    fn starts_late(&self, it: &Candidate, idx: usize, ahead_us: u64) -> bool {
-        let behind = self.candidates[idx + 1..].iter();
-        let in_time = behind
-            .take_while(|other| other.priority == it.priority && !other.is_late(self.now))
-            .map(|other| other.work_us);
-        let ahead_us = ahead_us + in_time.sum::<u64>();
+    fn starts_late(&self, it: &Candidate, ahead_us: u64) -> bool {
         let arriving = self.arriving(|load| load.priority <= it.priority);
         let start = self.start(ahead_us, arriving);
         start.is_some_and(|start| start <= it.last_start)
     }
 
+    /// Work of the requests of a priority that can be in time.
+    fn in_time_us(&self, priority: u8) -> u64 {
+        let in_time = self
+            .candidates
+            .iter()
+            .filter(|it| it.priority == priority && !it.is_late(self.now));
+        in_time.map(|it| it.work_us).sum()
+    }
+
     fn start(&self, ahead_us: u64, arriving: u64) -> Option<Millis> {
         let wait_us = self.drain.wait_us(ahead_us, arriving)?;
         Some(self.now + wait_us / 1_000)
