--- a/crates/router/src/gateway/admission_queue.rs
+++ b/crates/router/src/gateway/admission_queue.rs
@@ -2,6 +2,8 @@
 
 mod cold;
 mod pause;
+mod rejection;
+mod shedding;
 mod slot_guard;
 
 use std::{
@@ -10,7 +12,7 @@
     time::Duration,
 };
 
-use admission::{Decision, Decisions, OfferResult, Queue, QueueLimits, RequestEnd, Ticket};
+use admission::{Decision, Decisions, OfferResult, Queue, QueueLimits, RequestEnd};
 use coordinator::{Key, Millis};
 use process::BootClock;
 use refusal::Reason;
@@ -18,6 +20,7 @@
 use tokio::sync::oneshot;
 
 use self::cold::cold_limit_of;
+pub use self::rejection::Rejection;
 pub(super) use self::slot_guard::SlotGuard;
 use super::{GatewayRequest, QueueId, WaitLimit, member::Member, pauses::Pauses};
 use crate::{
@@ -55,6 +58,8 @@
 struct Inner {
     id: QueueId,
     queue: Queue,
+    /// Whether `queue` goes by objective.
+    by_objective: bool,
     /// Waiting requests by id, with the channel for the decision about each.
     waiting: HashMap<u64, oneshot::Sender<Decision>>,
     next_id: u64,
@@ -109,6 +114,7 @@
             inner: Mutex::new(Inner {
                 id,
                 queue: Queue::new(limits),
+                by_objective: false,
                 waiting: HashMap::new(),
                 next_id: 0,
                 version: None,
@@ -131,7 +137,7 @@
         self: &Arc<Self>,
         node: &Arc<Node>,
         request: &GatewayRequest,
-    ) -> Result<SlotGuard, Reason> {
+    ) -> Result<SlotGuard, Rejection> {
         loop {
             if let Some(slot) = self.wait_for_turn(node, request).await? {
                 return Ok(slot);
@@ -146,7 +152,7 @@
         self: &Arc<Self>,
         node: &Arc<Node>,
         request: &GatewayRequest,
-    ) -> Result<Option<SlotGuard>, Reason> {
+    ) -> Result<Option<SlotGuard>, Rejection> {
         let (id, decided) = {
             let mut inner = self.lock();
             let now = self.clock.now();
@@ -155,32 +161,29 @@
             }
             inner.refresh(node, &self.pauses, &request.service, now);
             if inner.members.is_empty() {
-                return Err(Reason::NoOwner);
+                return Err(Rejection::at_once(Reason::NoOwner));
             }
             if inner.is_evacuated(node, now) {
-                return Err(Reason::PlaceEvacuated);
+                return Err(Rejection::at_once(Reason::PlaceEvacuated));
             }
             if !inner.members.iter().any(|it| it.admits(now)) {
-                return Err(self.none_admits(&mut inner, node, request, now));
+                let reason = self.none_admits(&mut inner, node, request, now);
+                return Err(Rejection::at_once(reason));
             }
             if inner.paused_until.is_some() && matches!(inner.id, QueueId::Pool { .. }) {
-                return Err(Reason::TargetPaused);
+                return Err(Rejection::at_once(Reason::TargetPaused));
             }
             if request.wait_limit == WaitLimit::Objective && !inner.meets_objective(now, request) {
-                return Err(Reason::QueueFull);
+                return Err(Rejection::at_once(Reason::QueueFull));
             }
             let id = inner.next_id;
             inner.next_id += 1;
-            let ticket = Ticket {
-                id,
-                key: request.key.map_or(0, u64::from),
-                caller: 0,
-                priority: request.priority,
-                deadline: request.end,
-            };
-            match inner.queue.offer(now, ticket) {
-                OfferResult::Start => return self.start(&mut inner, id, request),
-                OfferResult::Refuse(reason) => return Err(reason),
+            match inner.queue.offer(now, request.ticket(id)) {
+                OfferResult::Start => {
+                    let started = self.start(&mut inner, id, request);
+                    return started.map_err(Rejection::at_once);
+                }
+                OfferResult::Refuse(reason) => return Err(Rejection::at_once(reason)),
                 OfferResult::Wait => {}
             }
             let (sender, decided) = oneshot::channel();
@@ -197,12 +200,14 @@
             id,
             decided: false,
         };
-        let decision = self.wait(node, request, id, decided).await?;
+        let decision = self.wait(node, request, id, decided).await;
+        let decision = decision.map_err(Rejection::after_wait)?;
         entry.decided = true;
         match decision {
             Decision::Start(_) => self.start(&mut self.lock(), id, request),
             Decision::Refuse(_, reason) => Err(reason),
         }
+        .map_err(Rejection::after_wait)
     }
 
     /// Whether a request can be expected to be answered within its objective.
@@ -366,6 +371,7 @@
     fn refresh(&mut self, node: &Node, pauses: &Mutex<Pauses>, service: &str, now: Millis) {
         let targets = node.targets();
         let evacuations = node.evacuations();
+        self.update_order(node, service);
         let version = (targets.version(), evacuations.version());
         let cold_limit = cold_limit_of(node, service);
         if self.version != Some(version) || self.cold_limit != cold_limit {
@@ -439,6 +445,12 @@
 
     /// Whether the request can be expected to be answered within its objective.
     fn meets_objective(&self, now: Millis, request: &GatewayRequest) -> bool {
+        let is_paced = self.members.iter().any(|it| it.next_start(now).is_some());
+        if self.by_objective && !is_paced {
+            return self
+                .queue
+                .meets_objective(now, request.ticket(self.next_id));
+        }
         now + self.estimated_wait_ms(now) + self.mean_ms() <= request.objective
     }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -49,12 +49,26 @@
     /// Memory of the host in megabytes.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: u32,
+    /// The order of requests in the queues of services whose routes differ.
+    #[serde(default)]
+    pub queue_order: OrderSetting,
     /// The platform's store.
     pub store: StoreSettings,
     /// Bounds that the platform sets.
     pub bounds: Bounds,
 }
 
+/// The order of waiting requests of one priority.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderSetting {
+    /// By arrival: oldest first, newest first in an overload.
+    #[default]
+    Arrival,
+    /// Requests that can meet their objective first, those with little work first in an overload.
+    Objective,
+}
+
 /// Addresses under which other hosts reach this one, where they differ from those that it binds.
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 pub struct Advertised {
--- a/crates/routing/src/catalog.rs
+++ b/crates/routing/src/catalog.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CatalogError, Regions, Route, Service, Share, Volume};
+use crate::{CatalogError, Regions, Route, Service, Share, Volume, shedding};
 
 /// Limits on the requests and connections of callers.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -49,6 +49,8 @@
     /// Services that have a route with large bodies.
     bulk: BTreeSet<Arc<str>>,
     mixed: bool,
+    /// Services whose queues go by objective.
+    by_objective: BTreeSet<Arc<str>>,
 }
 
 impl Catalog {
@@ -96,6 +98,7 @@
         let mut routes = hosts.values().flatten();
         let restricted = routes.any(|it| !it.regions.is_empty());
         let mixed = restricted || !bulk.is_empty() || services.values().any(|it| it.cold.is_some());
+        let by_objective = shedding::services_by_objective(&hosts, &services, &bulk);
         Ok(Self {
             version,
             hosts,
@@ -103,6 +106,7 @@
             limits,
             bulk,
             mixed,
+            by_objective,
         })
     }
 
@@ -177,6 +181,16 @@
         self.bulk.contains(service)
     }
 
+    /// Whether the queues of a service go by the objectives of its routes. This is so in a
+    /// configuration that states large bodies or a limit for cold targets anywhere, for a service
+    /// with a route whose objective is shorter than its timeout, if at least one of these holds: it
+    /// has a route with large bodies, it has a limit for cold targets, or its routes differ in
+    /// priority or objective. All other services are served as before there was this order.
+    #[must_use]
+    pub fn goes_by_objective(&self, service: &str) -> bool {
+        self.by_objective.contains(service)
+    }
+
     /// Returns all routes of all hosts.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.hosts.values().flatten()
